--- /dev/null
+++ b/config/set.go
@@ -0,0 +1,133 @@
+// Package config defines the objects that operators declare (services, backend
+// servers, data centres and the rules between them), reads them from TOML
+// files, checks the whole set together and compares two sets.
+//
+// A Set that passed Check is complete: every reference resolves and no two
+// objects conflict. Only a checked Set is published.
+package config
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/rattanthread/rattanthread/fleet"
+)
+
+// Set is a whole configuration: all objects, in force together or not at all.
+// Slices are sorted by name, so that equal sets encode to equal bytes.
+type Set struct {
+	DataCentres []DataCentre `toml:"data_centre" cbor:"data_centres"`
+	Services    []Service    `toml:"service" cbor:"services"`
+	Servers     []Server     `toml:"server" cbor:"servers"`
+	Rules       []Rule       `toml:"rule" cbor:"rules"`
+}
+
+// Revised is a Set with its place in the history of publications.
+type Revised struct {
+	History   fleet.HistoryID `cbor:"history"`
+	Revision  fleet.Revision  `cbor:"revision"`
+	Published time.Time       `cbor:"published"`
+	// Publication identifies the attempt that published it. A publisher which
+	// lost the answer finds its own attempt by it.
+	Publication string `cbor:"publication"`
+	Set         Set    `cbor:"set"`
+}
+
+// DataCentre is a site with its own entry hosts and backend servers.
+type DataCentre struct {
+	Name   fleet.DataCentreID `toml:"name" cbor:"name"`
+	Region fleet.RegionID     `toml:"region" cbor:"region"`
+	// State is what operators want: StateIn or StateOut.
+	State DataCentreState `toml:"state" cbor:"state"`
+	// Since is when State was last changed by a publication. The publisher sets it.
+	Since time.Time `toml:"-" cbor:"since"`
+}
+
+// DataCentreState is the state that operators want for a data centre.
+type DataCentreState string
+
+// The wanted states of a data centre. An empty state means StateIn.
+const (
+	StateIn  DataCentreState = "in"
+	StateOut DataCentreState = "out"
+)
+
+// ServiceKind tells how callers reach a service.
+type ServiceKind string
+
+// The kinds of service: packets of long flows, or HTTP requests.
+const (
+	KindFlow    ServiceKind = "flow"
+	KindRequest ServiceKind = "request"
+)
+
+// Service is an address that callers use.
+type Service struct {
+	Name fleet.ServiceName `toml:"name" cbor:"name"`
+	Kind ServiceKind       `toml:"kind" cbor:"kind"`
+	// Address decides which packets belong to a flow service. For a request
+	// service, Address is optional and Host (HTTP host name) decides.
+	Address  netip.AddrPort `toml:"address" cbor:"address"`
+	Protocol string         `toml:"protocol" cbor:"protocol"` // "tcp" or "udp"; flow services only
+	Host     string         `toml:"host" cbor:"host"`         // request services only
+	Flow     FlowLimits     `toml:"flow" cbor:"flow"`
+	Request  RequestLimits  `toml:"request" cbor:"request"`
+}
+
+// FlowLimits bounds the flows of one service. Zero fields take defaults.
+type FlowLimits struct {
+	// IdleTimeout is how long a flow may be quiet before its record is dropped.
+	IdleTimeout time.Duration `toml:"idle_timeout" cbor:"idle_timeout"`
+	// SilentTimeout is how long one direction may be unanswered before the flow is ended.
+	SilentTimeout time.Duration `toml:"silent_timeout" cbor:"silent_timeout"`
+}
+
+// RequestLimits bounds the requests of one service. Zero fields take defaults.
+type RequestLimits struct {
+	Timeout      time.Duration `toml:"timeout" cbor:"timeout"`               // longest deadline
+	MaxBodyBytes int64         `toml:"max_body_bytes" cbor:"max_body_bytes"` // request body
+	RetryRatio   float64       `toml:"retry_ratio" cbor:"retry_ratio"`       // retries per first attempt
+	MaxInFlight  int           `toml:"max_in_flight" cbor:"max_in_flight"`   // per entry host
+	KeyLifetime  time.Duration `toml:"key_lifetime" cbor:"key_lifetime"`     // how long a claim is kept
+}
+
+// Server is a backend server of one service in one data centre.
+type Server struct {
+	Name       fleet.ServerID     `toml:"name" cbor:"name"`
+	Service    fleet.ServiceName  `toml:"service" cbor:"service"`
+	DataCentre fleet.DataCentreID `toml:"data_centre" cbor:"data_centre"`
+	// Address is where the server unwraps encapsulated packets (flow services),
+	// or serves HTTP (request services).
+	Address netip.AddrPort `toml:"address" cbor:"address"`
+	// HealthAddress serves the server's health and load over HTTP.
+	HealthAddress  netip.AddrPort `toml:"health_address" cbor:"health_address"`
+	Weight         fleet.Weight   `toml:"weight" cbor:"weight"` // default 100
+	Slots          int            `toml:"slots" cbor:"slots"`   // requests run at once; default 2
+	MaxConnections int            `toml:"max_connections" cbor:"max_connections"`
+	// ColdRate is how many new flows or requests a second a cold server bears.
+	ColdRate float64 `toml:"cold_rate" cbor:"cold_rate"`
+	// WarmupTime is how long a server takes from cold to warm under load.
+	WarmupTime time.Duration `toml:"warmup_time" cbor:"warmup_time"`
+	// Drain asks that the server gets no new work.
+	Drain bool `toml:"drain" cbor:"drain"`
+}
+
+// Rule limits where the work of a service may go.
+type Rule struct {
+	Name    fleet.ServiceName    `toml:"service" cbor:"service"`
+	Kind    RuleKind             `toml:"kind" cbor:"kind"`
+	Centres []fleet.DataCentreID `toml:"data_centres" cbor:"data_centres"`
+	// MaxShare is the largest part of the service's new work that one data
+	// centre may get, from 0 to 1; for RuleMaxShare.
+	MaxShare float64 `toml:"max_share" cbor:"max_share"`
+}
+
+// RuleKind names what a rule does.
+type RuleKind string
+
+// The kinds of rule.
+const (
+	RuleOnly     RuleKind = "only"      // the service runs only in Centres
+	RuleExclude  RuleKind = "exclude"   // the service never runs in Centres
+	RuleMaxShare RuleKind = "max_share" // no centre of Centres gets more than MaxShare
+)
--- /dev/null
+++ b/fleet/rendezvous_test.go
@@ -0,0 +1,41 @@
+package fleet_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/rattanthread/rattanthread/fleet"
+)
+
+func ExampleRendezvous() {
+	hosts := []fleet.HostID{"a1", "a2", "a3"}
+	owner, successor := fleet.RendezvousPair("server/s1", hosts)
+	fmt.Println(owner != successor, fleet.Rendezvous("server/s1", hosts) == owner)
+	// Output: true true
+}
+
+func TestRendezvousMovesOnlyLostKeys(t *testing.T) {
+	is := is.New(t)
+	hosts := []fleet.HostID{"a1", "a2", "a3", "b1", "b2", "b3"}
+	for i := range 1000 {
+		key := fmt.Sprintf("key/%d", i)
+		owner, successor := fleet.RendezvousPair(key, hosts)
+		rest := without(hosts, owner)
+		is.Equal(fleet.Rendezvous(key, rest), successor)
+		for _, lost := range rest {
+			is.Equal(fleet.Rendezvous(key, without(hosts, lost)), owner)
+		}
+	}
+}
+
+func without(hosts []fleet.HostID, lost fleet.HostID) []fleet.HostID {
+	var rest []fleet.HostID
+	for _, h := range hosts {
+		if h != lost {
+			rest = append(rest, h)
+		}
+	}
+	return rest
+}
