--- /dev/null
+++ b/backend/credit.go
@@ -0,0 +1,100 @@
+package backend
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rattanthread/rattanthread/fleet"
+)
+
+// Credit is the right to give work to servers, as one host holds it. It is safe
+// for concurrent use. The zero value admits nothing.
+type Credit struct {
+	tanks atomic.Pointer[map[fleet.ServerID]*tank]
+}
+
+// Take reports whether one new flow or request may be given to the server, and
+// spends one unit of credit if the server is admitted by credit. What it
+// refuses counts as demand, for which the host asks the keeper.
+func (c *Credit) Take(now time.Time, id fleet.ServerID) bool {
+	tanks := c.tanks.Load()
+	if tanks == nil {
+		return false
+	}
+	t := (*tanks)[id]
+	if t == nil {
+		return false
+	}
+	return t.take(now)
+}
+
+func (c *Credit) install(servers map[fleet.ServerID]*server) {
+	tanks := make(map[fleet.ServerID]*tank, len(servers))
+	for id, s := range servers {
+		tanks[id] = s.tank
+	}
+	c.tanks.Store(&tanks)
+}
+
+// tank holds the unspent credit for one server.
+type tank struct {
+	admission atomic.Uint32
+
+	mu     sync.Mutex
+	grants []grant
+	demand int // units taken or refused since the last ask
+}
+
+// grant is credit that may be spent until a set time.
+type grant struct {
+	count   int
+	expires time.Time
+}
+
+// maxDemand bounds what one host asks for at once.
+const maxDemand = 1 << 16
+
+func (t *tank) set(a Admission) {
+	t.admission.Store(uint32(a))
+}
+
+func (t *tank) admitted() Admission {
+	return Admission(t.admission.Load())
+}
+
+func (t *tank) take(now time.Time) bool {
+	switch t.admitted() {
+	case AdmitFreely:
+		return true
+	case AdmitNone:
+		return false
+	case AdmitByCredit:
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.demand = min(t.demand+1, maxDemand)
+	for len(t.grants) > 0 {
+		first := &t.grants[0]
+		if first.count > 0 && now.Before(first.expires) {
+			first.count--
+			return true
+		}
+		t.grants = t.grants[1:]
+	}
+	return false
+}
+
+func (t *tank) add(g grant) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.grants = append(t.grants, g)
+}
+
+func (t *tank) takeDemand() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	wanted := t.demand
+	t.demand = 0
+	return wanted
+}
--- /dev/null
+++ b/backend/gossip.go
@@ -0,0 +1,196 @@
+package backend
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/rattanthread/rattanthread/fleet"
+)
+
+// syncInterval is the time between two comparisons of digests with a peer.
+const syncInterval = time.Second
+
+// buckets is how many parts the records are compared in.
+const buckets = 64
+
+// Records returns the known records of the configured servers, sorted by server.
+func (p *Pool) Records() []fleet.ServerRecord {
+	var records []fleet.ServerRecord
+	for _, id := range p.sorted {
+		if r := p.servers[id].record; r.Sequence > 0 {
+			records = append(records, r)
+		}
+	}
+	return records
+}
+
+// Digest returns a hash of the records that does not depend on their order.
+// Hosts with equal records of equal servers have equal digests.
+func (p *Pool) Digest() uint64 {
+	var sum uint64
+	for _, s := range p.servers {
+		if s.record.Sequence > 0 {
+			sum += digest(s.record)
+		}
+	}
+	return sum
+}
+
+func digest(r fleet.ServerRecord) uint64 {
+	var b [17]byte
+	b[0] = byte(r.Phase)
+	binary.LittleEndian.PutUint64(b[1:], uint64(r.Incarnation))
+	binary.LittleEndian.PutUint64(b[9:], uint64(r.Sequence))
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(string(r.Server))
+	_, _ = d.Write(b[:])
+	return d.Sum64()
+}
+
+func bucketOf(id fleet.ServerID) int {
+	return int(xxhash.Sum64String(string(id)) % buckets)
+}
+
+// supersedes reports whether record a is to replace b. Two keepers that do not
+// know of each other can number different records alike; then the one that
+// admits less wins.
+func supersedes(a, b fleet.ServerRecord) bool {
+	if a.Incarnation != b.Incarnation || a.Sequence != b.Sequence {
+		return a.NewerThan(b)
+	}
+	return caution(a.Phase) > caution(b.Phase)
+}
+
+func caution(phase fleet.ServerPhase) int {
+	switch phase {
+	case fleet.ServerWarm:
+		return 0
+	case fleet.ServerWarming:
+		return 1
+	case fleet.ServerCold:
+		return 2
+	case fleet.ServerSuspected:
+		return 3
+	case fleet.ServerDraining:
+		return 4
+	default:
+		return 5
+	}
+}
+
+// takeRecords adopts what is newer and passes it on.
+func (p *Pool) takeRecords(now time.Time, records []fleet.ServerRecord) {
+	for _, r := range records {
+		s := p.servers[r.Server]
+		if s == nil || !supersedes(r, s.record) {
+			continue
+		}
+		s.adopt(r)
+		p.changed = append(p.changed, r)
+		p.followDrain(s)
+		s.refresh(now)
+	}
+}
+
+func (s *server) adopt(r fleet.ServerRecord) {
+	s.record = r
+	if s.keeping != nil {
+		s.keeping.progress = 0
+	}
+}
+
+// flush sends the records that changed to a few peers, which pass them on.
+func (p *Pool) flush() []fleet.Send {
+	changed := p.changed
+	p.changed = nil
+	var sends []fleet.Send
+	for len(changed) > 0 {
+		n := min(len(changed), p.limits().RecordsPerMessage)
+		m := &Records{Records: changed[:n:n]}
+		changed = changed[n:]
+		for _, peer := range p.nextPeers(p.limits().Fanout) {
+			sends = append(sends, fleet.Send{To: peer, Message: m})
+		}
+	}
+	return sends
+}
+
+// nextPeers returns up to n peers in rotation. The stride differs from host to
+// host, so that hosts do not all choose the same peers.
+func (p *Pool) nextPeers(n int) []fleet.HostID {
+	if len(p.hosts) == 0 {
+		return nil
+	}
+	if p.peerIndex == 0 {
+		p.peerIndex = int(xxhash.Sum64String(string(p.self)) % uint64(len(p.hosts)))
+	}
+	var peers []fleet.HostID
+	for range p.hosts {
+		p.peerIndex++
+		host := p.hosts[p.peerIndex%len(p.hosts)]
+		if host != p.self {
+			peers = append(peers, host)
+		}
+		if len(peers) == n {
+			break
+		}
+	}
+	return peers
+}
+
+// sync compares digests with one peer now and then, for what gossip missed.
+func (p *Pool) sync(now time.Time) []fleet.Send {
+	if now.Sub(p.lastSync) < syncInterval {
+		return nil
+	}
+	p.lastSync = now
+	var sends []fleet.Send
+	for _, peer := range p.nextPeers(1) {
+		sends = append(sends, fleet.Send{To: peer, Message: &RecordDigest{Digest: p.Digest()}})
+	}
+	return sends
+}
+
+func (p *Pool) answerDigest(from fleet.HostID, m *RecordDigest) []fleet.Send {
+	if m.Digest == p.Digest() {
+		return nil
+	}
+	return []fleet.Send{{To: from, Message: &BucketDigests{Digests: p.bucketDigests(), Reply: true}}}
+}
+
+func (p *Pool) bucketDigests() []uint64 {
+	sums := make([]uint64, buckets)
+	for id, s := range p.servers {
+		if s.record.Sequence > 0 {
+			sums[bucketOf(id)] += digest(s.record)
+		}
+	}
+	return sums
+}
+
+// answerBuckets sends the records of the buckets that differ, as many as fit
+// in one message. What does not fit goes with a later comparison.
+func (p *Pool) answerBuckets(from fleet.HostID, m *BucketDigests) []fleet.Send {
+	own := p.bucketDigests()
+	if len(m.Digests) != len(own) {
+		return nil
+	}
+	var sends []fleet.Send
+	if m.Reply {
+		sends = append(sends, fleet.Send{To: from, Message: &BucketDigests{Digests: own}})
+	}
+	var records []fleet.ServerRecord
+	for _, r := range p.Records() {
+		b := bucketOf(r.Server)
+		if own[b] != m.Digests[b] && len(records) < p.limits().RecordsPerMessage {
+			records = append(records, r)
+		}
+	}
+	if len(records) > 0 {
+		sends = append(sends, fleet.Send{To: from, Message: &Records{Records: records}})
+	}
+	return sends
+}
--- /dev/null
+++ b/backend/ledger.go
@@ -0,0 +1,32 @@
+package backend
+
+import "time"
+
+// ledger adds up the credit that was granted and still weighs on a server.
+type ledger struct {
+	entries []ledgerEntry
+}
+
+type ledgerEntry struct {
+	count int
+	until time.Time
+}
+
+func (l *ledger) add(until time.Time, count int) {
+	if count > 0 {
+		l.entries = append(l.entries, ledgerEntry{count, until})
+	}
+}
+
+func (l *ledger) outstanding(now time.Time) int {
+	total := 0
+	kept := l.entries[:0]
+	for _, e := range l.entries {
+		if now.Before(e.until) {
+			kept = append(kept, e)
+			total += e.count
+		}
+	}
+	l.entries = kept
+	return total
+}
--- /dev/null
+++ b/backend/limits.go
@@ -0,0 +1,61 @@
+package backend
+
+import (
+	"time"
+
+	"github.com/rattanthread/rattanthread/config"
+)
+
+// Limits are the tunables of a Pool. Zero fields take the defaults below.
+type Limits struct {
+	// CreditLifetime is how long credit may be spent after it was asked for.
+	CreditLifetime time.Duration
+	// PromiseLifetime is how long a host leaves its share of the bounds to one keeper.
+	PromiseLifetime time.Duration
+	// ForgetAfter is how long a host that vanished without a planned stop keeps
+	// its share. Partitions shorter than this never raise a bound.
+	ForgetAfter time.Duration
+	// Fanout is how many peers a new record is passed on to.
+	Fanout int
+	// RecordsPerMessage bounds the length of a gossip message.
+	RecordsPerMessage int
+}
+
+// The defaults of Limits.
+const (
+	DefaultCreditLifetime    = 500 * time.Millisecond
+	DefaultPromiseLifetime   = 2 * time.Second
+	DefaultForgetAfter       = 10 * time.Minute
+	DefaultFanout            = 3
+	DefaultRecordsPerMessage = 128
+)
+
+// The defaults of a config.Server that leaves these fields zero.
+const (
+	defaultColdRate   = 5.0 // new flows or requests per second
+	defaultWarmupTime = 30 * time.Second
+)
+
+func (l Limits) withDefaults() Limits {
+	l.CreditLifetime = orDefault(l.CreditLifetime, DefaultCreditLifetime)
+	l.PromiseLifetime = orDefault(l.PromiseLifetime, DefaultPromiseLifetime)
+	l.ForgetAfter = orDefault(l.ForgetAfter, DefaultForgetAfter)
+	l.Fanout = orDefault(l.Fanout, DefaultFanout)
+	l.RecordsPerMessage = orDefault(l.RecordsPerMessage, DefaultRecordsPerMessage)
+	return l
+}
+
+func orDefault[T int | float64 | time.Duration](value, fallback T) T {
+	if value <= 0 {
+		return fallback
+	}
+	return value
+}
+
+func coldRate(s config.Server) float64 {
+	return orDefault(s.ColdRate, defaultColdRate)
+}
+
+func warmupTime(s config.Server) time.Duration {
+	return orDefault(s.WarmupTime, defaultWarmupTime)
+}
