Read, check and publish configuration: the first API

Cause: the host and the rollout need the types and calls to build on. A rule now has a name of its own and names its service in Service.

--- /dev/null
+++ b/config/codec.go
@@ -0,0 +1,113 @@
+package config
+
+import (
+	"bytes"
+	"compress/flate"
+	"io"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-faster/errors"
+)
+
+// MaxEncodedBytes is the size of the longest encoding that Decode accepts, after
+// decompression.
+const MaxEncodedBytes = 16 << 20
+
+// maxObjects bounds the objects of one kind in an encoding.
+const maxObjects = 1 << 17
+
+var (
+	encoding = newEncoding()
+	decoding = newDecoding()
+)
+
+func newEncoding() cbor.EncMode {
+	options := cbor.CoreDetEncOptions()
+	options.Time = cbor.TimeRFC3339NanoUTC
+	options.NilContainers = cbor.NilContainerAsEmpty
+	mode, err := options.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+func newDecoding() cbor.DecMode {
+	options := cbor.DecOptions{
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		IndefLength:      cbor.IndefLengthForbidden,
+		MaxArrayElements: maxObjects,
+		MaxNestedLevels:  16,
+	}
+	mode, err := options.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// Encode returns the deterministic CBOR encoding of the set. Equal normalised
+// sets give equal bytes.
+func (s Set) Encode() ([]byte, error) {
+	data, err := encoding.Marshal(s)
+	return data, errors.Wrap(err, "encode configuration")
+}
+
+// Decode reads the encoding of a set.
+func Decode(data []byte) (Set, error) {
+	var s Set
+	if len(data) > MaxEncodedBytes {
+		return s, errors.Errorf("decode configuration: %d bytes, more than %d", len(data), MaxEncodedBytes)
+	}
+	err := decoding.Unmarshal(data, &s)
+	return s, errors.Wrap(err, "decode configuration")
+}
+
+// Digest returns a hash of the set's encoding, by which two hosts find that
+// they hold the same set.
+func (s Set) Digest() Digest {
+	data, err := s.Encode()
+	if err != nil {
+		return 0
+	}
+	return Digest(xxhash.Sum64(data))
+}
+
+// Digest is a hash of a set. It detects differences and faults, not forgery.
+type Digest uint64
+
+// Encode returns the compressed CBOR encoding of the revision, as the platform
+// holds it.
+func (r Revised) Encode() ([]byte, error) {
+	data, err := encoding.Marshal(r)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode revision")
+	}
+	var compressed bytes.Buffer
+	w, err := flate.NewWriter(&compressed, flate.DefaultCompression)
+	if err != nil {
+		return nil, errors.Wrap(err, "compress revision")
+	}
+	if _, err := w.Write(data); err != nil {
+		return nil, errors.Wrap(err, "compress revision")
+	}
+	if err := w.Close(); err != nil {
+		return nil, errors.Wrap(err, "compress revision")
+	}
+	return compressed.Bytes(), nil
+}
+
+// DecodeRevised reads the compressed encoding of a revision.
+func DecodeRevised(compressed []byte) (Revised, error) {
+	var r Revised
+	data, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(compressed)), MaxEncodedBytes+1))
+	if err != nil {
+		return r, errors.Wrap(err, "decompress revision")
+	}
+	if len(data) > MaxEncodedBytes {
+		return r, errors.Errorf("decompress revision: more than %d bytes", MaxEncodedBytes)
+	}
+	err = decoding.Unmarshal(data, &r)
+	return r, errors.Wrap(err, "decode revision")
+}
--- a/config/set.go
+++ b/config/set.go
@@ -3,13 +3,16 @@
 // files, checks the whole set together and compares two sets.
 //
 // A Set that passed Check is complete: every reference resolves and no two
-// objects conflict. Only a checked Set is published.
+// objects conflict. Only a checked Set is published. Load reads a Set from
+// files, Check finds its faults, Normalised fills in defaults, Diff tells people
+// and Compare tells programs what changed between two Sets.
 package config
 
 import (
 	"net/netip"
 	"time"
 
+	"github.com/rattanthread/rattanthread/declaration"
 	"github.com/rattanthread/rattanthread/fleet"
 )
 
@@ -30,7 +33,17 @@
 	// Publication identifies the attempt that published it. A publisher which
 	// lost the answer finds its own attempt by it.
 	Publication string `cbor:"publication"`
-	Set         Set    `cbor:"set"`
+	// Message is what the operator said about the change.
+	Message string `cbor:"message,omitempty"`
+	// Earlier lists the publications before this one, the latest first.
+	Earlier []Earlier `cbor:"earlier,omitempty"`
+	Set     Set       `cbor:"set"`
+}
+
+// Earlier names a publication that a later one followed.
+type Earlier struct {
+	Revision    fleet.Revision `cbor:"revision"`
+	Publication string         `cbor:"publication"`
 }
 
 // DataCentre is a site with its own entry hosts and backend servers.
@@ -41,6 +54,8 @@
 	State DataCentreState `toml:"state" cbor:"state"`
 	// Since is when State was last changed by a publication. The publisher sets it.
 	Since time.Time `toml:"-" cbor:"since"`
+
+	origin *declaration.Origin
 }
 
 // DataCentreState is the state that operators want for a data centre.
@@ -67,28 +82,30 @@
 	Kind ServiceKind       `toml:"kind" cbor:"kind"`
 	// Address decides which packets belong to a flow service. For a request
 	// service, Address is optional and Host (HTTP host name) decides.
-	Address  netip.AddrPort `toml:"address" cbor:"address"`
-	Protocol string         `toml:"protocol" cbor:"protocol"` // "tcp" or "udp"; flow services only
-	Host     string         `toml:"host" cbor:"host"`         // request services only
-	Flow     FlowLimits     `toml:"flow" cbor:"flow"`
-	Request  RequestLimits  `toml:"request" cbor:"request"`
+	Address  netip.AddrPort `toml:"address" cbor:"address,omitzero"`
+	Protocol string         `toml:"protocol" cbor:"protocol,omitzero"` // "tcp" or "udp"; flow services only
+	Host     string         `toml:"host" cbor:"host,omitzero"`         // request services only
+	Flow     FlowLimits     `toml:"flow" cbor:"flow,omitzero"`
+	Request  RequestLimits  `toml:"request" cbor:"request,omitzero"`
+
+	origin *declaration.Origin
 }
 
 // FlowLimits bounds the flows of one service. Zero fields take defaults.
 type FlowLimits struct {
 	// IdleTimeout is how long a flow may be quiet before its record is dropped.
-	IdleTimeout time.Duration `toml:"idle_timeout" cbor:"idle_timeout"`
+	IdleTimeout time.Duration `toml:"idle_timeout" cbor:"idle_timeout,omitzero"`
 	// SilentTimeout is how long one direction may be unanswered before the flow is ended.
-	SilentTimeout time.Duration `toml:"silent_timeout" cbor:"silent_timeout"`
+	SilentTimeout time.Duration `toml:"silent_timeout" cbor:"silent_timeout,omitzero"`
 }
 
 // RequestLimits bounds the requests of one service. Zero fields take defaults.
 type RequestLimits struct {
-	Timeout      time.Duration `toml:"timeout" cbor:"timeout"`               // longest deadline
-	MaxBodyBytes int64         `toml:"max_body_bytes" cbor:"max_body_bytes"` // request body
-	RetryRatio   float64       `toml:"retry_ratio" cbor:"retry_ratio"`       // retries per first attempt
-	MaxInFlight  int           `toml:"max_in_flight" cbor:"max_in_flight"`   // per entry host
-	KeyLifetime  time.Duration `toml:"key_lifetime" cbor:"key_lifetime"`     // how long a claim is kept
+	Timeout      time.Duration `toml:"timeout" cbor:"timeout,omitzero"`               // longest deadline
+	MaxBodyBytes int64         `toml:"max_body_bytes" cbor:"max_body_bytes,omitzero"` // request body
+	RetryRatio   float64       `toml:"retry_ratio" cbor:"retry_ratio,omitzero"`       // retries per first attempt
+	MaxInFlight  int           `toml:"max_in_flight" cbor:"max_in_flight,omitzero"`   // per entry host
+	KeyLifetime  time.Duration `toml:"key_lifetime" cbor:"key_lifetime,omitzero"`     // how long a claim is kept
 }
 
 // Server is a backend server of one service in one data centre.
@@ -98,9 +115,9 @@
 	DataCentre fleet.DataCentreID `toml:"data_centre" cbor:"data_centre"`
 	// Address is where the server unwraps encapsulated packets (flow services),
 	// or serves HTTP (request services).
-	Address netip.AddrPort `toml:"address" cbor:"address"`
+	Address netip.AddrPort `toml:"address" cbor:"address,omitzero"`
 	// HealthAddress serves the server's health and load over HTTP.
-	HealthAddress  netip.AddrPort `toml:"health_address" cbor:"health_address"`
+	HealthAddress  netip.AddrPort `toml:"health_address" cbor:"health_address,omitzero"`
 	Weight         fleet.Weight   `toml:"weight" cbor:"weight"` // default 100
 	Slots          int            `toml:"slots" cbor:"slots"`   // requests run at once; default 2
 	MaxConnections int            `toml:"max_connections" cbor:"max_connections"`
@@ -109,19 +126,27 @@
 	// WarmupTime is how long a server takes from cold to warm under load.
 	WarmupTime time.Duration `toml:"warmup_time" cbor:"warmup_time"`
 	// Drain asks that the server gets no new work.
-	Drain bool `toml:"drain" cbor:"drain"`
+	Drain bool `toml:"drain" cbor:"drain,omitzero"`
+
+	origin *declaration.Origin
 }
 
 // Rule limits where the work of a service may go.
 type Rule struct {
-	Name    fleet.ServiceName    `toml:"service" cbor:"service"`
+	Name    RuleName             `toml:"name" cbor:"name"`
+	Service fleet.ServiceName    `toml:"service" cbor:"service"`
 	Kind    RuleKind             `toml:"kind" cbor:"kind"`
 	Centres []fleet.DataCentreID `toml:"data_centres" cbor:"data_centres"`
 	// MaxShare is the largest part of the service's new work that one data
 	// centre may get, from 0 to 1; for RuleMaxShare.
-	MaxShare float64 `toml:"max_share" cbor:"max_share"`
+	MaxShare float64 `toml:"max_share" cbor:"max_share,omitzero"`
+
+	origin *declaration.Origin
 }
 
+// RuleName names a rule.
+type RuleName string
+
 // RuleKind names what a rule does.
 type RuleKind string
 
--- /dev/null
+++ b/declaration/origin.go
@@ -0,0 +1,166 @@
+package declaration
+
+import (
+	"fmt"
+	"regexp"
+	"strings"
+)
+
+// Origin tells where an object was declared. The zero Origin means that the
+// object was not read from a file.
+type Origin struct {
+	File string
+	Line int
+	keys map[string]int
+}
+
+// LineOf returns the line of a key of the object, such as "flow.idle_timeout",
+// or of the table that would hold it, or the line of the object.
+func (o Origin) LineOf(key string) int {
+	for key != "" {
+		if line, ok := o.keys[key]; ok {
+			return line
+		}
+		key = key[:max(strings.LastIndexByte(key, '.'), 0)]
+	}
+	return o.Line
+}
+
+// Problem returns a problem of the object's key.
+func (o Origin) Problem(object, key, reason string) Problem {
+	return Problem{File: o.File, Line: o.LineOf(key), Object: object, Key: key, Reason: reason}
+}
+
+var (
+	arrayHeader = regexp.MustCompile(`^\[\[\s*([A-Za-z0-9_.\-" ]+?)\s*\]\]`)
+	tableHeader = regexp.MustCompile(`^\[\s*([A-Za-z0-9_.\-" ]+?)\s*\]`)
+	keyValue    = regexp.MustCompile(`^([A-Za-z0-9_.\-"]+)\s*=`)
+)
+
+// lineIndex maps the path of each table and key to its line. Elements of arrays
+// of tables have their number in the path, as in "server#3.weight".
+type lineIndex struct {
+	lines   map[string]int
+	counts  map[string]int
+	objects map[string]map[string]int // lines by key within each element
+	prefix  string
+}
+
+func indexLines(data string) lineIndex {
+	x := lineIndex{lines: map[string]int{}, counts: map[string]int{}}
+	quote := ""
+	number := 0
+	for line := range strings.Lines(data) {
+		number++
+		if quote == "" {
+			x.addLine(strings.TrimSpace(line), number)
+		}
+		quote = openQuote(line, quote)
+	}
+	return x
+}
+
+// openQuote returns the multi-line string delimiter that is open after line.
+func openQuote(line, quote string) string {
+	for {
+		switch i, delimiter := nextDelimiter(line, quote); {
+		case i < 0:
+			return quote
+		case quote == "":
+			quote = delimiter
+			line = line[i+3:]
+		default:
+			quote = ""
+			line = line[i+3:]
+		}
+	}
+}
+
+func nextDelimiter(line, quote string) (int, string) {
+	if quote != "" {
+		return strings.Index(line, quote), quote
+	}
+	basic := strings.Index(line, `"""`)
+	literal := strings.Index(line, `'''`)
+	if literal >= 0 && (basic < 0 || literal < basic) {
+		return literal, `'''`
+	}
+	return basic, `"""`
+}
+
+func (x *lineIndex) addLine(line string, number int) {
+	if m := arrayHeader.FindStringSubmatch(line); m != nil {
+		path := x.resolve(m[1])
+		x.counts[path]++
+		x.prefix = fmt.Sprintf("%s#%d", path, x.counts[path])
+		x.lines[x.prefix] = number
+		return
+	}
+	if m := tableHeader.FindStringSubmatch(line); m != nil {
+		x.prefix = x.resolve(m[1])
+		x.lines[x.prefix] = number
+		return
+	}
+	if m := keyValue.FindStringSubmatch(line); m != nil {
+		x.lines[joinPath(x.prefix, strings.ReplaceAll(m[1], `"`, ""))] = number
+	}
+}
+
+// resolve puts the number of the latest element behind each array of tables
+// that a header's path goes through.
+func (x *lineIndex) resolve(header string) string {
+	parts := strings.Split(strings.ReplaceAll(header, `"`, ""), ".")
+	path := ""
+	for i, part := range parts {
+		path = joinPath(path, strings.TrimSpace(part))
+		if n := x.counts[path]; n > 0 && i < len(parts)-1 {
+			path = fmt.Sprintf("%s#%d", path, n)
+		}
+	}
+	return path
+}
+
+// splitObjects groups the keys by the element of an array of tables that holds them.
+func (x *lineIndex) splitObjects() {
+	x.objects = map[string]map[string]int{}
+	for path, line := range x.lines {
+		object, key := splitObject(path)
+		if object == "" || key == "" {
+			continue
+		}
+		if x.objects[object] == nil {
+			x.objects[object] = map[string]int{}
+		}
+		x.objects[object][key] = line
+	}
+}
+
+// splitObject cuts a path behind the last number of an element.
+func splitObject(path string) (object, key string) {
+	i := strings.LastIndexByte(path, '#')
+	if i < 0 {
+		return "", path
+	}
+	j := strings.IndexByte(path[i:], '.')
+	if j < 0 {
+		return path, ""
+	}
+	return path[:i+j], path[i+j+1:]
+}
+
+func (x *lineIndex) lineOf(path string) int {
+	for path != "" {
+		if line, ok := x.lines[path]; ok {
+			return line
+		}
+		path = path[:max(strings.LastIndexAny(path, ".#"), 0)]
+	}
+	return 1
+}
+
+func joinPath(prefix, key string) string {
+	if prefix == "" {
+		return key
+	}
+	return prefix + "." + key
+}
--- /dev/null
+++ b/settings/normal.go
@@ -0,0 +1,35 @@
+package settings
+
+import (
+	"cmp"
+	"time"
+)
+
+// The values that stand for a setting which the file leaves out.
+const (
+	DefaultPlatformTimeout = 2 * time.Second
+	DefaultHeartbeat       = 500 * time.Millisecond
+	DefaultSuspicion       = 2 * time.Second
+	DefaultFlowRecords     = 1_000_000
+	DefaultExceptionalFlow = 200_000
+	DefaultRequestKeys     = 200_000
+	DefaultQueuedMessages  = 256
+	DefaultMessageBytes    = 1 << 20
+	DefaultPacketWorkers   = 2
+	DefaultLogLevel        = "info"
+)
+
+// Normalised returns the settings with every default filled in.
+func (s Settings) Normalised() Settings {
+	s.Platform.Timeout = cmp.Or(s.Platform.Timeout, DefaultPlatformTimeout)
+	s.Peers.Heartbeat = cmp.Or(s.Peers.Heartbeat, DefaultHeartbeat)
+	s.Peers.Suspicion = cmp.Or(s.Peers.Suspicion, DefaultSuspicion)
+	s.Limits.FlowRecords = cmp.Or(s.Limits.FlowRecords, DefaultFlowRecords)
+	s.Limits.ExceptionalFlow = cmp.Or(s.Limits.ExceptionalFlow, DefaultExceptionalFlow)
+	s.Limits.RequestKeys = cmp.Or(s.Limits.RequestKeys, DefaultRequestKeys)
+	s.Limits.QueuedMessages = cmp.Or(s.Limits.QueuedMessages, DefaultQueuedMessages)
+	s.Limits.MessageBytes = cmp.Or(s.Limits.MessageBytes, DefaultMessageBytes)
+	s.Limits.PacketWorkers = cmp.Or(s.Limits.PacketWorkers, DefaultPacketWorkers)
+	s.Log.Level = cmp.Or(s.Log.Level, DefaultLogLevel)
+	return s
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -1,6 +1,7 @@
 // Package settings reads what one entry host is told about itself: its name,
 // data centre, addresses, the platform's address, the key it shares with its
-// peers, and the limits of what it keeps in memory. The format is TOML.
+// peers, and the limits of what it keeps in memory. The format is TOML. Load
+// reads a file, fills in defaults and reports every fault with its line.
 package settings
 
 import (
