--- /dev/null
+++ b/packet/build_test.go
@@ -0,0 +1,82 @@
+package packet_test
+
+import (
+	"testing"
+
+	"github.com/gopacket/gopacket"
+	"github.com/gopacket/gopacket/layers"
+	"github.com/matryer/is"
+
+	"github.com/rattanthread/rattanthread/fleet"
+	"github.com/rattanthread/rattanthread/packet"
+)
+
+func TestAppendReset(t *testing.T) {
+	tests := []struct {
+		name      string
+		in        packet.Packet
+		flags     packet.Flags
+		seq, ack  uint32
+		toService bool
+	}{
+		{"SYN", packet.Packet{Flags: packet.SYN, Sequence: 99}, packet.RST | packet.ACK, 0, 100, false},
+		{"SYN wraps", packet.Packet{Flags: packet.SYN, Sequence: 1<<32 - 1}, packet.RST | packet.ACK, 0, 0, false},
+		{"SYN with data", packet.Packet{Flags: packet.SYN, Sequence: 99, PayloadLen: 5}, packet.RST | packet.ACK, 0, 105, false},
+		{"established", packet.Packet{Flags: packet.ACK, Sequence: 99, Acknowledgement: 7, PayloadLen: 5}, packet.RST, 7, 0, false},
+		{"to server", packet.Packet{Flags: packet.ACK, Sequence: 99, Acknowledgement: 7}, packet.RST | packet.ACK, 99, 7, true},
+	}
+	var p packet.Parser
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			test.in.Key = key(t)
+			build, source := packet.AppendReset, service4
+			if test.toService {
+				build, source = packet.AppendServerReset, caller4
+			}
+			var out packet.Packet
+			data := build(nil, &test.in)
+			is.NoErr(p.Parse(data, &out))
+			is.Equal(out.Key.SourceAddress(), source)
+			is.Equal(out.Flags, test.flags)
+			is.Equal(out.Sequence, test.seq)
+			is.Equal(out.Acknowledgement, test.ack)
+			is.NoErr(verifyChecksum(data))
+		})
+	}
+}
+
+func key(t *testing.T) fleet.FlowKey {
+	var p packet.Parser
+	var out packet.Packet
+	is.New(t).NoErr(p.Parse(syn(t), &out))
+	return out.Key
+}
+
+// verifyChecksum compares the TCP checksum with one computed anew.
+func verifyChecksum(data []byte) error {
+	decoded := gopacket.NewPacket(data, layers.LayerTypeIPv4, gopacket.Default)
+	network := decoded.NetworkLayer().(*layers.IPv4)
+	tcp := decoded.TransportLayer().(*layers.TCP)
+	want := tcp.Checksum
+	if err := tcp.SetNetworkLayerForChecksum(network); err != nil {
+		return err
+	}
+	b := gopacket.NewSerializeBuffer()
+	if err := tcp.SerializeTo(b, gopacket.SerializeOptions{ComputeChecksums: true}); err != nil {
+		return err
+	}
+	if tcp.Checksum != want {
+		return packet.ReasonBadHeader
+	}
+	return nil
+}
+
+func TestNoResetForResetOrUDP(t *testing.T) {
+	is := is.New(t)
+	is.Equal(len(packet.AppendReset(nil, &packet.Packet{Key: key(t), Flags: packet.RST})), 0)
+	is.Equal(len(packet.AppendServerReset(nil, &packet.Packet{Key: key(t), Flags: packet.RST})), 0)
+	udp := key(t)
+	udp.Protocol = fleet.ProtocolUDP
+	is.Equal(len(packet.AppendReset(nil, &packet.Packet{Key: udp})), 0)
+}
--- a/packet/parser.go
+++ b/packet/parser.go
@@ -18,6 +18,8 @@
 	ip6 layers.IPv6
 	tcp layers.TCP
 	udp layers.UDP
+	// fixed holds a TCP header without its options.
+	fixed [tcpMinHeader]byte
 }
 
 // Parse reads datagram, the payload of a UDP packet from the fabric, into out.
@@ -127,10 +129,9 @@
 	}
 	// The options are of no use here, and their decoder allocates. The fixed
 	// part alone is decoded, as a header without options.
-	var fixed [tcpMinHeader]byte
-	copy(fixed[:], data)
-	fixed[12] = tcpMinHeader / 4 << 4
-	if err := p.tcp.DecodeFromBytes(fixed[:], gopacket.NilDecodeFeedback); err != nil {
+	copy(p.fixed[:], data)
+	p.fixed[12] = tcpMinHeader / 4 << 4
+	if err := p.tcp.DecodeFromBytes(p.fixed[:], gopacket.NilDecodeFeedback); err != nil {
 		return ReasonBadHeader
 	}
 	out.Key.Protocol = fleet.ProtocolTCP
