standin: add a fabric, backend servers and callers on loopback

Cause: trials and tests need a small world around the entry hosts, whose counts do not come from the entry hosts themselves.

Change: a fabric that sprays packets at random and learns late of dead hosts; flow servers with a little TCP state, bounded connections and a cold start; request servers with slots, a bounded queue, shedding and a ledger of runs; callers of flows and of requests; a gateway for ordinary UDP clients.

--- /dev/null
+++ b/standin/fabric_test.go
@@ -0,0 +1,94 @@
+package standin_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/rattanthread/rattanthread/fleet"
+	"github.com/rattanthread/rattanthread/standin"
+)
+
+func TestFabricSpraysAndForgetsLate(t *testing.T) {
+	is := is.New(t)
+	now := start
+	sent := make(map[netip.AddrPort]int)
+	f := &standin.Fabric{
+		Lag: time.Second,
+		Now: func() time.Time { return now },
+		Write: func(_ []byte, to netip.AddrPort) error {
+			sent[to]++
+			return nil
+		},
+	}
+	f.Send(nil)
+	is.Equal(f.Counts().NoHost, uint64(1))
+	var packet [3]netip.AddrPort
+	for i := range packet {
+		packet[i] = netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(1000+i))
+		f.Add(fleet.HostID(fmt.Sprint("host-", i)), packet[i], packet[i])
+	}
+	spray := func() map[netip.AddrPort]int {
+		clear(sent)
+		for range 3000 {
+			f.Send(nil)
+		}
+		return sent
+	}
+	for _, n := range spray() {
+		is.True(n > 800 && n < 1200) // about a third each
+	}
+	f.Remove("host-1")
+	now = now.Add(time.Second / 2)
+	is.True(spray()[packet[1]] > 0) // the fabric has not noticed yet
+	now = now.Add(time.Second / 2)
+	is.Equal(spray()[packet[1]], 0)
+	address, ok := f.RequestAddress()
+	is.True(ok && address != packet[1])
+	f.Add("host-1", packet[1], packet[1])
+	is.True(spray()[packet[1]] > 0)
+}
+
+// TestGateway carries a datagram of an ordinary client over real sockets.
+func TestGateway(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	listen := func(address netip.AddrPort) *net.UDPConn {
+		socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
+		is.NoErr(err)
+		return socket
+	}
+	local := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), 0)
+	answers := listen(netip.AddrPortFrom(netip.MustParseAddr("127.1.7.7"), 0))
+	answerPort := uint16(answers.LocalAddr().(*net.UDPAddr).Port)
+
+	serverSocket := listen(local)
+	server := &standin.FlowServer{Name: "live-1", Destination: serviceAddress, AnswerPort: answerPort}
+	go func() { _ = server.Run(ctx, serverSocket) }()
+
+	f := &standin.Fabric{}
+	defer f.Close()
+	f.Add("host", serverSocket.LocalAddr().(*net.UDPAddr).AddrPort(), netip.AddrPort{})
+	g := &standin.Gateway{Address: netip.MustParseAddr("127.1.7.7"), Destination: serviceAddress, Send: f.Send}
+	door := listen(local)
+	go func() { _ = g.Run(ctx, door, answers) }()
+
+	client, err := net.Dial("udp4", door.LocalAddr().String())
+	is.NoErr(err)
+	defer client.Close()
+	for _, message := range []string{"hello", "again"} {
+		_, err = client.Write([]byte(message))
+		is.NoErr(err)
+		buffer := make([]byte, 100)
+		n, err := client.Read(buffer)
+		is.NoErr(err)
+		is.Equal(string(buffer[:n]), "live-1 "+message)
+	}
+	is.Equal(server.Counts().NewFlows, uint64(1))
+}
