--- /dev/null
+++ b/request/claim.go
@@ -0,0 +1,131 @@
+package request
+
+import (
+	"time"
+
+	"github.com/rattanthread/rattanthread/fleet"
+)
+
+// ClaimState is how far the request of one key has come.
+type ClaimState uint8
+
+// The states of a claim. Of two records with the same version the one with the
+// higher state is believed.
+const (
+	ClaimFree    ClaimState = iota // no attempt has run
+	ClaimPending                   // granted to an attempt once the successor knows
+	ClaimRunning                   // an attempt may be running
+	ClaimDone                      // answered, or the outcome is unknown
+)
+
+// claim is the state of one key at its owner or successor.
+type claim struct {
+	key      Key
+	service  fleet.ServiceName
+	body     BodyHash
+	state    ClaimState
+	version  uint64
+	attempt  AttemptID
+	deadline time.Time
+	result   Result
+	copiedAt time.Time
+	acked    uint64 // version that the successor has
+	waiting  []waiter
+}
+
+// waiter is an attempt that waits for the outcome of another one.
+type waiter struct {
+	attempt  AttemptID
+	deadline time.Time
+}
+
+func (c *claim) record(now time.Time) ClaimRecord {
+	return ClaimRecord{
+		Key:      c.key.String(),
+		Service:  c.service,
+		Body:     c.body,
+		State:    c.state,
+		Version:  c.version,
+		Attempt:  c.attempt,
+		TimeLeft: c.deadline.Sub(now),
+		Result:   c.result,
+	}
+}
+
+// copyRecord is the record for the successor. A pending claim is copied as
+// running, as it runs as soon as the copy is acknowledged.
+func (c *claim) copyRecord(now time.Time) ClaimRecord {
+	r := c.record(now)
+	if r.State == ClaimPending {
+		r.State = ClaimRunning
+	}
+	return r
+}
+
+// adopt takes in a record of another host if it is the newer one.
+func (k *Keys) adopt(now time.Time, r ClaimRecord) bool {
+	key, err := ParseKey(r.Key)
+	if err != nil || r.State > ClaimDone {
+		return false
+	}
+	c := k.claims[r.Key]
+	if c == nil {
+		if len(k.claims) >= k.limits().Keys {
+			return false
+		}
+		c = &claim{key: key}
+		k.claims[r.Key] = c
+	} else if r.Version < c.version || r.Version == c.version && r.State <= c.state {
+		return true
+	}
+	if r.State == ClaimPending {
+		r.State = ClaimRunning
+	}
+	c.service, c.body, c.version, c.attempt = r.Service, r.Body, r.Version, r.Attempt
+	c.deadline = now.Add(r.TimeLeft)
+	k.setResult(c, r.Result)
+	k.setState(c, r.State)
+	return true
+}
+
+func (k *Keys) setState(c *claim, s ClaimState) {
+	c.state = s
+	id := c.key.String()
+	if s == ClaimPending || s == ClaimRunning {
+		k.active[id] = c
+		return
+	}
+	delete(k.active, id)
+}
+
+// setResult keeps the result, without the body if that is too long or if too
+// many bytes are kept already.
+func (k *Keys) setResult(c *claim, r Result) {
+	k.keptBytes -= len(c.result.Answer.Body)
+	limits := k.limits()
+	tooLong := len(r.Answer.Body) > limits.KeptBody || k.keptBytes+len(r.Answer.Body) > limits.KeptTotal
+	if tooLong {
+		r.Answer.Body, r.Answer.BodyKept = nil, false
+	}
+	k.keptBytes += len(r.Answer.Body)
+	c.result = r
+}
+
+// sweep drops the claims whose keys have expired.
+func (k *Keys) sweep(now time.Time) {
+	if now.Sub(k.lastSweep) < time.Second {
+		return
+	}
+	k.lastSweep = now
+	k.dropGaps(now)
+	limits := k.limits()
+	for id, c := range k.claims {
+		expired := now.After(c.key.Issued().Add(limits.KeyLifetime + limits.MaxSkew))
+		if !expired || k.active[id] != nil && now.Before(c.deadline.Add(limits.RunGrace)) {
+			continue
+		}
+		k.setResult(c, Result{})
+		delete(k.claims, id)
+		delete(k.active, id)
+	}
+}
--- /dev/null
+++ b/request/owner.go
@@ -0,0 +1,278 @@
+package request
+
+import (
+	"slices"
+	"time"
+
+	"github.com/rattanthread/rattanthread/fleet"
+)
+
+// copyInterval is the time between two copies of a claim that is not acknowledged.
+const copyInterval = 150 * time.Millisecond
+
+// maxWaiting bounds the attempts that wait for the outcome of one key.
+const maxWaiting = 16
+
+// claimAsked decides on an attempt, if this host is the owner and may act. It
+// is silent otherwise: the asker repeats, or finds the owner by a newer view.
+func (k *Keys) claimAsked(now time.Time, m *ClaimAsk) Effects {
+	key, err := ParseKey(m.Key)
+	if err != nil || !k.mayDecide(now, key) {
+		return Effects{}
+	}
+	if v, ok := key.check(now, k.limits()); !ok && k.claims[m.Key] == nil {
+		return k.answer(now, m.Attempt, v)
+	}
+	c := k.claims[m.Key]
+	if c == nil {
+		return k.claimNew(now, key, m)
+	}
+	if c.service != m.Service || c.body != m.Body {
+		v := Verdict{Decision: DecisionConflict, Reason: ReasonKeyReused}
+		return k.answer(now, m.Attempt, v)
+	}
+	return k.claimAgain(now, c, m)
+}
+
+func (k *Keys) mayDecide(now time.Time, key Key) bool {
+	if !k.Ready(now) || home(key, k.view.Centres) != k.view.DataCentre {
+		return false
+	}
+	return k.owns(key.String())
+}
+
+func (k *Keys) claimNew(now time.Time, key Key, m *ClaimAsk) Effects {
+	switch {
+	case k.history.lost(key):
+		return k.answer(now, m.Attempt, Verdict{Decision: DecisionUnknown, Reason: ReasonHistoryLost})
+	case homeMoved(key, k.view.Centres, k.limits().MoveMargin):
+		return k.answer(now, m.Attempt, Verdict{Decision: DecisionUnknown, Reason: ReasonHomeMoved})
+	case len(k.claims) >= k.limits().Keys:
+		v := Verdict{Decision: DecisionRefused, Reason: ReasonKeysFull, Earlier: EarlierNone, RetryAfter: time.Second}
+		return k.answer(now, m.Attempt, v)
+	}
+	c := &claim{key: key, service: m.Service, body: m.Body}
+	k.claims[m.Key] = c
+	return k.grant(now, c, m.Attempt, now.Add(m.TimeLeft))
+}
+
+func (k *Keys) claimAgain(now time.Time, c *claim, m *ClaimAsk) Effects {
+	switch c.state {
+	case ClaimFree:
+		return k.grant(now, c, m.Attempt, now.Add(m.TimeLeft))
+	case ClaimDone:
+		return k.answer(now, m.Attempt, c.verdict())
+	case ClaimRunning, ClaimPending:
+	}
+	if c.attempt == m.Attempt {
+		if c.state == ClaimRunning {
+			return k.answer(now, m.Attempt, Verdict{Decision: DecisionRun})
+		}
+		return Effects{}
+	}
+	return k.wait(now, c, m)
+}
+
+func (k *Keys) wait(now time.Time, c *claim, m *ClaimAsk) Effects {
+	known := slices.ContainsFunc(c.waiting, func(w waiter) bool { return w.attempt == m.Attempt })
+	if !known {
+		if len(c.waiting) >= maxWaiting {
+			v := Verdict{Decision: DecisionUnknown, Reason: ReasonInProgress, RetryAfter: time.Second}
+			return k.answer(now, m.Attempt, v)
+		}
+		c.waiting = append(c.waiting, waiter{attempt: m.Attempt, deadline: now.Add(m.TimeLeft)})
+	}
+	return k.deliver(now, m.Attempt.Host, &ClaimAnswer{Attempt: m.Attempt, Waiting: true})
+}
+
+// grant gives the claim to an attempt. It may run once the successor knows.
+func (k *Keys) grant(now time.Time, c *claim, a AttemptID, deadline time.Time) Effects {
+	c.attempt, c.deadline = a, deadline
+	c.version++
+	k.setResult(c, Result{})
+	k.setState(c, ClaimPending)
+	return k.copyClaim(now, c)
+}
+
+// copyClaim writes the claim to the successor. In a ring of one there is none,
+// and the claim is as safe as this host.
+func (k *Keys) copyClaim(now time.Time, c *claim) Effects {
+	_, successor := k.ring.pair(c.key.String())
+	if successor == "" {
+		return k.confirmCopy(now, c)
+	}
+	c.copiedAt = now
+	return k.deliver(now, successor, &ClaimCopy{Ring: k.ringID, Claim: c.copyRecord(now)})
+}
+
+// claimCopied stores a copy for an owner with the same view. A host that has
+// taken another view stays silent, so that an owner which it has left behind
+// grants nothing.
+func (k *Keys) claimCopied(now time.Time, from fleet.HostID, m *ClaimCopy) Effects {
+	owner, successor := k.ring.pair(m.Claim.Key)
+	if k.stopped || m.Ring != k.ringID || owner != from || successor != k.self.Host {
+		return Effects{}
+	}
+	if !k.adopt(now, m.Claim) {
+		return Effects{}
+	}
+	ack := &ClaimCopied{Ring: m.Ring, Key: m.Claim.Key, Version: m.Claim.Version}
+	return k.deliver(now, from, ack)
+}
+
+func (k *Keys) copyAcked(now time.Time, from fleet.HostID, m *ClaimCopied) Effects {
+	c := k.claims[m.Key]
+	_, successor := k.ring.pair(m.Key)
+	if c == nil || m.Ring != k.ringID || from != successor || m.Version != c.version {
+		return Effects{}
+	}
+	return k.confirmCopy(now, c)
+}
+
+func (k *Keys) confirmCopy(now time.Time, c *claim) Effects {
+	c.acked = c.version
+	if c.state == ClaimFree || c.state == ClaimDone {
+		delete(k.active, c.key.String())
+		return Effects{}
+	}
+	if c.state != ClaimPending || !k.mayDecide(now, c.key) {
+		return Effects{}
+	}
+	k.setState(c, ClaimRunning)
+	return k.answer(now, c.attempt, Verdict{Decision: DecisionRun})
+}
+
+// recopy gives the claims that are running to the new successors.
+func (k *Keys) recopy(now time.Time) Effects {
+	var e Effects
+	for _, id := range sortedKeys(k.active) {
+		c := k.active[id]
+		c.acked = 0
+		if k.owns(id) {
+			e.merge(k.copyClaim(now, c))
+		}
+	}
+	return e
+}
+
+// resultReported takes in how an attempt ended. A late report may still turn an
+// unknown outcome into a known one.
+func (k *Keys) resultReported(now time.Time, from fleet.HostID, m *ResultReport) Effects {
+	key, err := ParseKey(m.Key)
+	if err != nil || !k.mayDecide(now, key) {
+		return Effects{}
+	}
+	e := k.deliver(now, from, &ResultAck{Attempt: m.Attempt})
+	c := k.claims[m.Key]
+	if c == nil {
+		e.merge(k.reportedUnclaimed(now, key, m))
+		return e
+	}
+	if c.attempt != m.Attempt {
+		c.waiting = slices.DeleteFunc(c.waiting, func(w waiter) bool { return w.attempt == m.Attempt })
+		return e
+	}
+	if c.state == ClaimFree || c.state == ClaimDone && c.result.Outcome != Unknown {
+		return e
+	}
+	e.merge(k.finish(now, c, m.Result))
+	return e
+}
+
+// reportedUnclaimed keeps the result of an attempt whose claim was lost.
+func (k *Keys) reportedUnclaimed(now time.Time, key Key, m *ResultReport) Effects {
+	if m.Result.Outcome == Refused || len(k.claims) >= k.limits().Keys {
+		return Effects{}
+	}
+	c := &claim{key: key, service: m.Service, body: m.Body, attempt: m.Attempt, deadline: now}
+	k.claims[m.Key] = c
+	return k.finish(now, c, m.Result)
+}
+
+func (k *Keys) finish(now time.Time, c *claim, r Result) Effects {
+	c.version++
+	waiting := c.waiting
+	c.waiting = nil
+	if r.Outcome == Refused {
+		k.setState(c, ClaimFree)
+		return k.grantNext(now, c, waiting)
+	}
+	k.setResult(c, r)
+	k.setState(c, ClaimDone)
+	e := k.copyUntilAcked(now, c)
+	for _, w := range waiting {
+		e.merge(k.answer(now, w.attempt, c.verdict()))
+	}
+	return e
+}
+
+// grantNext lets the first attempt that still waits run.
+func (k *Keys) grantNext(now time.Time, c *claim, waiting []waiter) Effects {
+	for i, w := range waiting {
+		if now.Before(w.deadline) {
+			c.waiting = waiting[i+1:]
+			return k.grant(now, c, w.attempt, w.deadline)
+		}
+	}
+	return k.copyUntilAcked(now, c)
+}
+
+// copyUntilAcked copies a claim that needs no other attention.
+func (k *Keys) copyUntilAcked(now time.Time, c *claim) Effects {
+	k.active[c.key.String()] = c
+	return k.copyClaim(now, c)
+}
+
+// verdict tells a later attempt how a claim has ended.
+func (c *claim) verdict() Verdict {
+	if c.result.Outcome == Answered {
+		return Verdict{Decision: DecisionReplay, Answer: c.result.Answer}
+	}
+	return Verdict{Decision: DecisionUnknown, Reason: c.result.Reason}
+}
+
+func (k *Keys) answer(now time.Time, a AttemptID, v Verdict) Effects {
+	return k.deliver(now, a.Host, &ClaimAnswer{
+		Attempt:    a,
+		Decision:   v.Decision,
+		Reason:     v.Reason,
+		Earlier:    v.Earlier,
+		Answer:     v.Answer,
+		RetryAfter: v.RetryAfter,
+	})
+}
+
+// tickClaims repeats copies that were not acknowledged, and gives up on
+// attempts whose outcome did not come.
+func (k *Keys) tickClaims(now time.Time) Effects {
+	var e Effects
+	for _, id := range sortedKeys(k.active) {
+		c := k.active[id]
+		if !k.mayDecide(now, c.key) {
+			continue
+		}
+		if c.state == ClaimRunning && k.outcomeLost(now, c) {
+			e.merge(k.finish(now, c, Result{Outcome: Unknown, Reason: ReasonOutcomeLost}))
+			continue
+		}
+		if c.acked != c.version && now.Sub(c.copiedAt) >= copyInterval {
+			e.merge(k.copyClaim(now, c))
+		}
+	}
+	k.sweep(now)
+	return e
+}
+
+// outcomeLost reports whether the host that ran the attempt is gone, or its
+// report is overdue.
+func (k *Keys) outcomeLost(now time.Time, c *claim) bool {
+	if now.After(c.deadline.Add(k.limits().RunGrace)) {
+		return true
+	}
+	for _, h := range k.view.Hosts {
+		if h.ID == c.attempt.Host {
+			return h.Incarnation != c.attempt.Incarnation
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/request/ring.go
@@ -0,0 +1,125 @@
+package request
+
+import (
+	"encoding/binary"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/rattanthread/rattanthread/fleet"
+)
+
+// Member is one life of a host.
+type Member struct {
+	Host        fleet.HostID      `cbor:"host"`
+	Incarnation fleet.Incarnation `cbor:"incarnation"`
+}
+
+// KnownMember is a member that may be running, last seen live Age ago.
+type KnownMember struct {
+	Member Member        `cbor:"member"`
+	Age    time.Duration `cbor:"age"`
+}
+
+// Ring is the live members of one data centre, sorted by host. It decides
+// which of them owns a key.
+type Ring []Member
+
+// RingID identifies a Ring by its content.
+type RingID uint64
+
+func newRing(hosts []fleet.Host, centre fleet.DataCentreID) Ring {
+	var r Ring
+	for _, h := range hosts {
+		if h.DataCentre == centre {
+			r = append(r, Member{Host: h.ID, Incarnation: h.Incarnation})
+		}
+	}
+	slices.SortFunc(r, func(a, b Member) int { return strings.Compare(string(a.Host), string(b.Host)) })
+	return r
+}
+
+// ID returns the hash of the members and their incarnations.
+func (r Ring) ID() RingID {
+	var d xxhash.Digest
+	d.Reset()
+	var b [9]byte
+	for _, m := range r {
+		_, _ = d.WriteString(string(m.Host))
+		binary.LittleEndian.PutUint64(b[1:], uint64(m.Incarnation))
+		_, _ = d.Write(b[:])
+	}
+	return RingID(d.Sum64())
+}
+
+func (r Ring) hosts() []fleet.HostID {
+	ids := make([]fleet.HostID, len(r))
+	for i, m := range r {
+		ids[i] = m.Host
+	}
+	return ids
+}
+
+// member returns the member with the given host.
+func (r Ring) member(host fleet.HostID) (Member, bool) {
+	for _, m := range r {
+		if m.Host == host {
+			return m, true
+		}
+	}
+	return Member{}, false
+}
+
+func (r Ring) contains(m Member) bool {
+	return slices.Contains(r, m)
+}
+
+// pair returns the owner and the successor of a key; the successor is "" in a
+// ring of one.
+func (r Ring) pair(key string) (owner, successor fleet.HostID) {
+	return fleet.RendezvousPair("key/"+key, r.hosts())
+}
+
+// survives reports whether the owner or the successor of key in r is in alive.
+func (r Ring) survives(key string, alive Ring) bool {
+	owner, successor := r.pair(key)
+	for _, host := range []fleet.HostID{owner, successor} {
+		if m, ok := r.member(host); ok && alive.contains(m) {
+			return true
+		}
+	}
+	return false
+}
+
+// losesPair reports whether some key may have lost both its owner and its successor.
+func (r Ring) losesPair(alive Ring) bool {
+	lost := 0
+	for _, m := range r {
+		if !alive.contains(m) {
+			lost++
+		}
+	}
+	return lost >= 2 || lost == len(r)
+}
+
+// Gap tells that claims may have been lost: those of keys issued before Before
+// of which neither the owner nor the successor in Ring is among Alive. An empty
+// Ring means all keys.
+type Gap struct {
+	Ring   Ring      `cbor:"ring"`
+	Alive  Ring      `cbor:"alive"`
+	Before time.Time `cbor:"before"`
+}
+
+func (g Gap) covers(key Key) bool {
+	if !key.Issued().Before(g.Before) {
+		return false
+	}
+	return len(g.Ring) == 0 || !g.Ring.survives(key.String(), g.Alive)
+}
+
+func (g Gap) equal(other Gap) bool {
+	return g.Before.Equal(other.Before) && slices.Equal(g.Ring, other.Ring) && slices.Equal(g.Alive, other.Alive)
+}
