--- a/config/codec.go
+++ b/config/codec.go
@@ -51,7 +51,10 @@
 // sets give equal bytes.
 func (s Set) Encode() ([]byte, error) {
 	data, err := encoding.Marshal(s)
-	return data, errors.Wrap(err, "encode configuration")
+	if err != nil {
+		return nil, errors.Wrap(err, "encode configuration")
+	}
+	return data, nil
 }
 
 // Decode reads the encoding of a set.
@@ -60,8 +63,11 @@
 	if len(data) > MaxEncodedBytes {
 		return s, errors.Errorf("decode configuration: %d bytes, more than %d", len(data), MaxEncodedBytes)
 	}
-	err := decoding.Unmarshal(data, &s)
-	return s, errors.Wrap(err, "decode configuration")
+	if err := decoding.Unmarshal(data, &s); err != nil {
+		return Set{}, errors.Wrap(err, "decode configuration")
+	}
+	s.clearEmpty()
+	return s, nil
 }
 
 // Digest returns a hash of the set's encoding, by which two hosts find that
@@ -103,11 +109,17 @@
 	var r Revised
 	data, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(compressed)), MaxEncodedBytes+1))
 	if err != nil {
-		return r, errors.Wrap(err, "decompress revision")
+		if err != nil {
+			return Revised{}, errors.Wrap(err, "decompress revision")
+		}
+		return r, nil
 	}
 	if len(data) > MaxEncodedBytes {
 		return r, errors.Errorf("decompress revision: more than %d bytes", MaxEncodedBytes)
 	}
-	err = decoding.Unmarshal(data, &r)
-	return r, errors.Wrap(err, "decode revision")
+	if err := decoding.Unmarshal(data, &r); err != nil {
+		return Revised{}, errors.Wrap(err, "decode revision")
+	}
+	r.Set.clearEmpty()
+	return r, nil
 }
--- a/config/delta.go
+++ b/config/delta.go
@@ -69,14 +69,20 @@
 // Encode returns the deterministic CBOR encoding of the delta.
 func (d Delta) Encode() ([]byte, error) {
 	data, err := encoding.Marshal(d)
-	return data, errors.Wrap(err, "encode delta")
+	if err != nil {
+		return nil, errors.Wrap(err, "encode delta")
+	}
+	return data, nil
 }
 
 // DecodeDelta reads the encoding of a delta.
 func DecodeDelta(data []byte) (Delta, error) {
 	var d Delta
 	err := decoding.Unmarshal(data, &d)
-	return d, errors.Wrap(err, "decode delta")
+	if err != nil {
+		return Delta{}, errors.Wrap(err, "decode delta")
+	}
+	return d, nil
 }
 
 func compare[K cmp.Ordered, T any](old, updated []T, key func(T) K, equal func(a, b T) bool) Changes[K, T] {
@@ -109,10 +115,7 @@
 		result = append(result, value)
 	}
 	slices.SortFunc(result, func(a, b T) int { return cmp.Compare(key(a), key(b)) })
-	if len(result) == 0 {
-		return nil
-	}
-	return result
+	return nilIfEmpty(result)
 }
 
 func byKey[K cmp.Ordered, T any](values []T, key func(T) K) map[K]T {
--- a/config/load.go
+++ b/config/load.go
@@ -118,7 +118,10 @@
 	}
 	if !info.IsDir() {
 		data, err := os.ReadFile(path)
-		return []File{{Name: path, Data: data}}, errors.Wrap(err, "load configuration")
+		if err != nil {
+			return nil, errors.Wrap(err, "load configuration")
+		}
+		return []File{{Name: path, Data: data}}, nil
 	}
 	names, err := tomlFiles(os.DirFS(path))
 	if err != nil {
--- a/config/normal.go
+++ b/config/normal.go
@@ -43,9 +43,29 @@
 		n.Servers[i].normalise(kinds[n.Servers[i].Service])
 	}
 	n.sort()
+	n.clearEmpty()
 	return n
 }
 
+// clearEmpty makes empty slices nil, so that a set equals what is decoded from
+// its encoding.
+func (s *Set) clearEmpty() {
+	s.DataCentres = nilIfEmpty(s.DataCentres)
+	s.Services = nilIfEmpty(s.Services)
+	s.Servers = nilIfEmpty(s.Servers)
+	s.Rules = nilIfEmpty(s.Rules)
+	for i := range s.Rules {
+		s.Rules[i].Centres = nilIfEmpty(s.Rules[i].Centres)
+	}
+}
+
+func nilIfEmpty[T any](values []T) []T {
+	if len(values) == 0 {
+		return nil
+	}
+	return values
+}
+
 func (s Set) clone() Set {
 	c := Set{
 		DataCentres: slices.Clone(s.DataCentres),
--- /dev/null
+++ b/platformstandin/server.go
@@ -0,0 +1,318 @@
+// Package platformstandin is a small stand-in for the platform's object API. It
+// keeps objects in memory and can be made slow, unreachable, forgetful of
+// answers or late with its reads, so that tests and users can try outages.
+//
+// Server is an http.Handler. Its faults are set by SetFaults, or over HTTP at
+// /faults. docs/PLATFORM.md describes the API.
+package platformstandin
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/rattanthread/rattanthread/platform"
+)
+
+// Limits of the stand-in, as the platform has them.
+const (
+	DefaultWritesPerSecond = 300
+	DefaultReadsPerSecond  = 2000
+	MaxWait                = time.Minute
+)
+
+// objectsPath is the root of the object API.
+const objectsPath = "/v1/objects"
+
+// Server serves the object API. The zero Server is ready and empty. All methods
+// are safe for concurrent use.
+type Server struct {
+	// Now tells the time; nil means time.Now.
+	Now func() time.Time
+	// WritesPerSecond and ReadsPerSecond bound the calls; zero means the defaults.
+	WritesPerSecond, ReadsPerSecond float64
+
+	mu      sync.Mutex
+	store   store
+	faults  Faults
+	counts  Counts
+	writes  *rate.Limiter
+	reads   *rate.Limiter
+	changed chan struct{}
+}
+
+// Counts tells how many calls the server has had. A waiting watch is one call.
+type Counts struct {
+	Reads   uint64 `json:"reads"`
+	Watches uint64 `json:"watches"`
+	Writes  uint64 `json:"writes"`
+	// Applied is how many writes took effect.
+	Applied uint64 `json:"applied"`
+	// Limited is how many calls were over the rates.
+	Limited uint64 `json:"limited"`
+	// Dropped is how many calls found the server down.
+	Dropped uint64 `json:"dropped"`
+	// LostAnswers is how many writes took effect without an answer.
+	LostAnswers uint64 `json:"lost_answers"`
+}
+
+// Counts returns the calls so far.
+func (s *Server) Counts() Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts
+}
+
+// Reset empties the store, as if the platform had been recreated. Versions
+// start again.
+func (s *Server) Reset() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.store = store{}
+	s.wake()
+}
+
+// ServeHTTP serves the object API and the control endpoints.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.URL.Path == objectsPath || strings.HasPrefix(r.URL.Path, objectsPath+"/"):
+		s.serveObjects(w, r, strings.TrimPrefix(strings.TrimPrefix(r.URL.Path, objectsPath), "/"))
+	case r.URL.Path == "/faults":
+		s.serveFaults(w, r)
+	case r.URL.Path == "/counts" && r.Method == http.MethodGet:
+		writeJSON(w, s.Counts())
+	case r.URL.Path == "/reset" && r.Method == http.MethodPost:
+		s.Reset()
+		w.WriteHeader(http.StatusNoContent)
+	default:
+		http.NotFound(w, r)
+	}
+}
+
+func (s *Server) serveObjects(w http.ResponseWriter, r *http.Request, name string) {
+	query := r.URL.Query()
+	write := r.Method == http.MethodPut || r.Method == http.MethodDelete
+	if !s.admit(write, query.Has("wait")) {
+		w.Header().Set("Retry-After", "1")
+		http.Error(w, "over the rate", http.StatusTooManyRequests)
+		return
+	}
+	s.suffer()
+	switch {
+	case write && name != "":
+		s.serveWrite(w, r, name)
+	case r.Method == http.MethodGet && name == "":
+		s.serveList(w, query.Get("prefix"))
+	case r.Method == http.MethodGet && query.Has("wait"):
+		s.serveWatch(w, r, name)
+	case r.Method == http.MethodGet:
+		s.serveGet(w, name)
+	default:
+		http.Error(w, "no such operation", http.StatusMethodNotAllowed)
+	}
+}
+
+// admit counts a call and holds it against the rates.
+func (s *Server) admit(write, watch bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.writes == nil {
+		s.writes = newLimiter(s.WritesPerSecond, DefaultWritesPerSecond)
+		s.reads = newLimiter(s.ReadsPerSecond, DefaultReadsPerSecond)
+	}
+	limiter := s.reads
+	switch {
+	case write:
+		s.counts.Writes++
+		limiter = s.writes
+	case watch:
+		s.counts.Watches++
+	default:
+		s.counts.Reads++
+	}
+	if !limiter.AllowN(s.now(), 1) {
+		s.counts.Limited++
+		return false
+	}
+	return true
+}
+
+func newLimiter(perSecond, otherwise float64) *rate.Limiter {
+	if perSecond == 0 {
+		perSecond = otherwise
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), max(int(perSecond), 1))
+}
+
+func (s *Server) serveGet(w http.ResponseWriter, name string) {
+	s.mu.Lock()
+	e, ok := s.store.at(name, s.readTime(s.faults.Lag), s.now())
+	s.mu.Unlock()
+	if !ok {
+		http.Error(w, "no such object", http.StatusNotFound)
+		return
+	}
+	writeObject(w, e)
+}
+
+func (s *Server) serveList(w http.ResponseWriter, prefix string) {
+	s.mu.Lock()
+	list := s.store.list(prefix, s.readTime(max(s.faults.Lag, s.faults.ListLag)), s.now())
+	s.mu.Unlock()
+	writeJSON(w, list)
+}
+
+// serveWatch answers as soon as the object is past the version that the caller
+// knows, or with 204 when the wait ends.
+func (s *Server) serveWatch(w http.ResponseWriter, r *http.Request, name string) {
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	wait, err := time.ParseDuration(r.URL.Query().Get("wait"))
+	if err != nil || wait < 0 {
+		http.Error(w, "bad wait", http.StatusBadRequest)
+		return
+	}
+	end := time.NewTimer(min(wait, MaxWait))
+	defer end.Stop()
+	for {
+		e, ok, news, lag := s.look(name)
+		if ok && e.version > platform.Version(after) {
+			writeObject(w, e)
+			return
+		}
+		recheck := recheckTimer(lag)
+		select {
+		case <-news:
+		case <-recheck:
+		case <-r.Context().Done():
+			return
+		case <-end.C:
+			w.Header().Set("ETag", etag(e.version))
+			w.WriteHeader(http.StatusNoContent)
+			return
+		}
+		if s.Faults().Down {
+			s.suffer()
+		}
+	}
+}
+
+// look reads an object and returns the channel that tells of the next write.
+func (s *Server) look(name string) (e entry, ok bool, news <-chan struct{}, lag time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.changed == nil {
+		s.changed = make(chan struct{})
+	}
+	e, ok = s.store.at(name, s.readTime(s.faults.Lag), s.now())
+	return e, ok, s.changed, s.faults.Lag
+}
+
+// lagRecheck is how often a watch looks again for writes that its lag hid.
+const lagRecheck = 20 * time.Millisecond
+
+func recheckTimer(lag time.Duration) <-chan time.Time {
+	if lag == 0 {
+		return nil
+	}
+	return time.After(lagRecheck)
+}
+
+func (s *Server) serveWrite(w http.ResponseWriter, r *http.Request, name string) {
+	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, platform.MaxObjectBytes))
+	if err != nil {
+		http.Error(w, fmt.Sprintf("object is larger than %d bytes", platform.MaxObjectBytes), http.StatusRequestEntityTooLarge)
+		return
+	}
+	lease, err := time.ParseDuration(r.URL.Query().Get("lease"))
+	if err != nil && r.URL.Query().Has("lease") || lease < 0 {
+		http.Error(w, "bad lease", http.StatusBadRequest)
+		return
+	}
+	change := entry{value: value, deleted: r.Method == http.MethodDelete}
+	version, applied, lost := s.apply(name, change, lease, r.Header)
+	if lost {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("ETag", etag(version))
+	if !applied {
+		http.Error(w, "another version is current", http.StatusPreconditionFailed)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// apply makes a write whose conditions hold. It returns the object's version.
+func (s *Server) apply(name string, change entry, lease time.Duration, conditions http.Header) (version platform.Version, applied, lost bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	current, exists := s.store.at(name, now, now)
+	if !holds(conditions, current, exists) {
+		return current.version, false, false
+	}
+	change.at = now
+	if lease > 0 {
+		change.expires = now.Add(lease)
+	}
+	version = s.store.put(name, change)
+	s.counts.Applied++
+	s.wake()
+	if s.faults.LoseAnswers > 0 {
+		s.faults.LoseAnswers--
+		s.counts.LostAnswers++
+		lost = true
+	}
+	return version, true, lost
+}
+
+// holds evaluates If-Match and If-None-Match (RFC 9110, section 13).
+func holds(conditions http.Header, current entry, exists bool) bool {
+	if match := conditions.Get("If-Match"); match != "" {
+		if !exists || match != "*" && match != etag(current.version) {
+			return false
+		}
+	}
+	if match := conditions.Get("If-None-Match"); match != "" {
+		if exists && (match == "*" || match == etag(current.version)) {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Server) wake() {
+	if s.changed != nil {
+		close(s.changed)
+		s.changed = nil
+	}
+}
+
+func (s *Server) now() time.Time {
+	if s.Now != nil {
+		return s.Now()
+	}
+	return time.Now()
+}
+
+// readTime is the time whose state a read with that lag shows.
+func (s *Server) readTime(lag time.Duration) time.Time { return s.now().Add(-lag) }
+
+func writeObject(w http.ResponseWriter, e entry) {
+	w.Header().Set("ETag", etag(e.version))
+	w.Header().Set("Content-Type", "application/octet-stream")
+	_, _ = w.Write(e.value)
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func etag(v platform.Version) string { return fmt.Sprintf("%q", strconv.FormatUint(uint64(v), 10)) }
