--- /dev/null
+++ b/control/refresh.go
@@ -0,0 +1,162 @@
+package control
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/rattanthread/rattanthread/backend"
+	"github.com/rattanthread/rattanthread/config"
+	"github.com/rattanthread/rattanthread/fleet"
+	"github.com/rattanthread/rattanthread/flow"
+	"github.com/rattanthread/rattanthread/membership"
+	"github.com/rattanthread/rattanthread/request"
+)
+
+// stageFactor spreads the stage of the data centres over the bits of a digest.
+const stageFactor = 0x9e3779b97f4a7c15
+
+// refresh gives the parts what has changed in the others since the last call.
+func (c *Core) refresh(now time.Time) Output {
+	var out Output
+	if c.stopping {
+		return out
+	}
+	members := c.members.Changed()
+	if members != c.installed.members {
+		c.rollout.Install(now, c.members.Live())
+	}
+	revised, ok := c.rollout.InForce()
+	if !ok {
+		c.installed.members = members
+		return out
+	}
+	fresh := revised.Revision != c.installed.revision || revised.History != c.installed.history
+	if fresh {
+		c.centres.Install(now, revised.Set.DataCentres)
+	}
+	stage := c.centres.Stage(now)
+	if fresh || members != c.installed.members || stage != c.installed.stage {
+		out.add(sent(c.servers.Install(now, c.serverView(now, revised.Set))))
+	}
+	confirmed := c.centres.Confirmed(now)
+	if fresh || members != c.installed.members || confirmed != c.installed.confirmed {
+		out.add(effects(c.keys.Install(now, c.keyView(revised.Set, confirmed))))
+	}
+	records := c.servers.Digest()
+	state := membership.State{Revision: revised.Revision, Digest: records ^ stage*stageFactor}
+	c.members.SetLocal(now, state)
+	next := installed{
+		members:   members,
+		history:   revised.History,
+		revision:  revised.Revision,
+		stage:     stage,
+		records:   records,
+		settled:   c.members.Settled(now, state),
+		confirmed: confirmed,
+	}
+	if next == c.installed {
+		return out
+	}
+	c.installed = next
+	out.add(sent(c.flows.Install(now, c.flowView(now, revised.Set, next.settled))))
+	return out
+}
+
+func (c *Core) keyView(set config.Set, confirmed bool) request.View {
+	return request.View{
+		Self:       c.options.Self.ID,
+		DataCentre: c.options.Self.DataCentre,
+		Hosts:      c.members.Live(),
+		Centres:    set.DataCentres,
+		Confirmed:  confirmed,
+	}
+}
+
+func (c *Core) serverView(now time.Time, set config.Set) backend.View {
+	view := backend.View{
+		Self:     c.options.Self.ID,
+		Hosts:    c.liveIDs(),
+		Servers:  set.Servers,
+		Excluded: make(map[fleet.ServerID]bool),
+	}
+	for _, s := range set.Servers {
+		if !c.takesWork(now, s.DataCentre) {
+			view.Excluded[s.Name] = true
+		}
+	}
+	return view
+}
+
+// takesWork reports whether a data centre gets new work.
+func (c *Core) takesWork(now time.Time, id fleet.DataCentreID) bool {
+	phase := c.centres.Phase(now, id)
+	return phase == fleet.DataCentreIn || phase == fleet.DataCentreReturning
+}
+
+func (c *Core) liveIDs() []fleet.HostID {
+	live := c.members.Live()
+	ids := make([]fleet.HostID, len(live))
+	for i, h := range live {
+		ids[i] = h.ID
+	}
+	return ids
+}
+
+func (c *Core) flowView(now time.Time, set config.Set, settled bool) flow.View {
+	view := flow.View{Self: c.options.Self.ID, Hosts: c.liveIDs(), Settled: settled}
+	weights := c.weights(now, set)
+	servers := make(map[fleet.ServiceName][]flow.Server)
+	for _, s := range set.Servers {
+		servers[s.Service] = append(servers[s.Service], c.flowServer(now, s, weights[s.Name]))
+	}
+	for _, s := range set.Services {
+		if s.Kind != config.KindFlow {
+			continue
+		}
+		view.Services = append(view.Services, flow.Service{
+			Name:          s.Name,
+			Address:       s.Address,
+			Protocol:      protocolOf(s),
+			IdleTimeout:   s.Flow.IdleTimeout,
+			SilentTimeout: s.Flow.SilentTimeout,
+			Servers:       sortedServers(servers[s.Name]),
+		})
+	}
+	slices.SortFunc(view.Services, func(a, b flow.Service) int { return cmp.Compare(a.Name, b.Name) })
+	return view
+}
+
+func (c *Core) flowServer(now time.Time, s config.Server, weight fleet.Weight) flow.Server {
+	return flow.Server{
+		ID:         s.Name,
+		DataCentre: s.DataCentre,
+		Weight:     weight,
+		Address:    s.Address,
+		Admission:  flowAdmission(c.servers.Admission(s.Name)),
+		Out:        c.centres.Phase(now, s.DataCentre) == fleet.DataCentreOut,
+	}
+}
+
+func flowAdmission(a backend.Admission) flow.Admission {
+	switch a {
+	case backend.AdmitFreely:
+		return flow.AdmitFreely
+	case backend.AdmitByCredit:
+		return flow.AdmitByCredit
+	default:
+		return flow.AdmitNone
+	}
+}
+
+func protocolOf(s config.Service) fleet.Protocol {
+	if s.Protocol == "udp" {
+		return fleet.ProtocolUDP
+	}
+	return fleet.ProtocolTCP
+}
+
+func sortedServers(servers []flow.Server) []flow.Server {
+	slices.SortFunc(servers, func(a, b flow.Server) int { return cmp.Compare(a.ID, b.ID) })
+	return servers
+}
--- /dev/null
+++ b/control/snapshot.go
@@ -0,0 +1,88 @@
+package control
+
+import (
+	"time"
+
+	"github.com/rattanthread/rattanthread/backend"
+	"github.com/rattanthread/rattanthread/config"
+	"github.com/rattanthread/rattanthread/datacentre"
+	"github.com/rattanthread/rattanthread/fleet"
+	"github.com/rattanthread/rattanthread/membership"
+)
+
+// Snapshot is what traffic goroutines and the admin address need to know of the
+// control state. It is immutable.
+type Snapshot struct {
+	Revised    config.Revised
+	Configured bool // false until a configuration is in force
+	Adopted    time.Time
+	Servers    map[fleet.ServerID]Server
+	Records    []fleet.ServerRecord
+	Hosts      map[fleet.HostID]fleet.Host
+	Live       []fleet.Host
+	Members    []membership.Member
+	Keeps      []fleet.ServerID
+	Work       datacentre.Work
+	Confirmed  bool
+	Reader     bool
+	NeedFetch  bool
+	Ready      bool
+	Stale      bool // the host was paused and nobody has confirmed it since
+	Superseded bool // a later incarnation of this host is known
+}
+
+// Server is how new work may be given to a backend server.
+type Server struct {
+	Weight    fleet.Weight
+	Admission backend.Admission
+}
+
+// publish makes a new snapshot when the control state has changed.
+func (c *Core) publish(now time.Time) bool {
+	old := c.snapshot.Load()
+	next := Snapshot{
+		Work:       c.centres.Allowed(now),
+		Confirmed:  c.centres.Confirmed(now),
+		Reader:     c.rollout.IsReader(),
+		NeedFetch:  c.rollout.NeedFetch(),
+		Stale:      c.members.Stale(now),
+		Superseded: c.members.Superseded(),
+	}
+	next.Ready = c.rollout.Ready() && c.flows.Ready() && !next.Stale && !c.stopping
+	if old != nil && c.installed == c.published && sameFlags(old, &next) {
+		return false
+	}
+	c.published = c.installed
+	c.fill(now, old, &next)
+	c.snapshot.Store(&next)
+	return true
+}
+
+func sameFlags(a, b *Snapshot) bool {
+	return a.Work == b.Work && a.Confirmed == b.Confirmed && a.Reader == b.Reader &&
+		a.NeedFetch == b.NeedFetch && a.Ready == b.Ready && a.Stale == b.Stale &&
+		a.Superseded == b.Superseded
+}
+
+// fill copies the parts of the control state that change seldom.
+func (c *Core) fill(now time.Time, old, next *Snapshot) {
+	next.Revised, next.Configured = c.rollout.InForce()
+	next.Adopted = now
+	if old != nil && old.Revised.Revision == next.Revised.Revision && old.Revised.History == next.Revised.History {
+		next.Adopted = old.Adopted
+	}
+	next.Servers = make(map[fleet.ServerID]Server, len(next.Revised.Set.Servers))
+	weights := c.weights(now, next.Revised.Set)
+	for _, s := range next.Revised.Set.Servers {
+		next.Servers[s.Name] = Server{Weight: weights[s.Name], Admission: c.servers.Admission(s.Name)}
+	}
+	next.Records = c.servers.Records()
+	next.Keeps = c.servers.Keeps()
+	next.Live = c.members.Live()
+	next.Members = c.members.Members()
+	next.Hosts = make(map[fleet.HostID]fleet.Host, len(next.Members)+1)
+	next.Hosts[c.options.Self.ID] = c.options.Self
+	for _, m := range next.Members {
+		next.Hosts[m.Host.ID] = m.Host
+	}
+}
--- /dev/null
+++ b/control/weights.go
@@ -0,0 +1,99 @@
+package control
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/rattanthread/rattanthread/config"
+	"github.com/rattanthread/rattanthread/fleet"
+)
+
+// weightScale keeps fractions of a weight when shares are applied.
+const weightScale = 100
+
+// weights returns the share of new work of each server: its declared weight,
+// the share of its data centre, and the rules of its service.
+func (c *Core) weights(now time.Time, set config.Set) map[fleet.ServerID]fleet.Weight {
+	shares := make(map[fleet.DataCentreID]float64)
+	for _, d := range set.DataCentres {
+		shares[d.Name] = c.centres.Share(now, d.Name)
+	}
+	rules := make(map[fleet.ServiceName][]config.Rule)
+	for _, r := range set.Rules {
+		rules[r.Service] = append(rules[r.Service], r)
+	}
+	factors := make(map[fleet.ServiceName]map[fleet.DataCentreID]float64)
+	for _, s := range set.Services {
+		factors[s.Name] = centreFactors(s.Name, set, shares, rules[s.Name])
+	}
+	weights := make(map[fleet.ServerID]fleet.Weight, len(set.Servers))
+	for _, s := range set.Servers {
+		weights[s.Name] = scaledWeight(s, factors[s.Service][s.DataCentre])
+	}
+	return weights
+}
+
+// scaledWeight never rounds a positive weight down to nothing.
+func scaledWeight(s config.Server, factor float64) fleet.Weight {
+	if s.Drain || factor <= 0 || s.Weight == 0 {
+		return 0
+	}
+	return fleet.Weight(math.Max(1, math.Round(float64(s.Weight)*weightScale*factor)))
+}
+
+// centreFactors returns by how much the weights of a service's servers in each
+// data centre are multiplied.
+func centreFactors(
+	name fleet.ServiceName,
+	set config.Set,
+	shares map[fleet.DataCentreID]float64,
+	rules []config.Rule,
+) map[fleet.DataCentreID]float64 {
+	factors := make(map[fleet.DataCentreID]float64, len(shares))
+	for id, share := range shares {
+		if ruleAllows(rules, id) {
+			factors[id] = share
+		}
+	}
+	totals := make(map[fleet.DataCentreID]float64)
+	for _, s := range set.Servers {
+		if s.Service == name && !s.Drain {
+			totals[s.DataCentre] += float64(s.Weight) * factors[s.DataCentre]
+		}
+	}
+	for _, r := range rules {
+		if r.Kind == config.RuleMaxShare {
+			limitShare(r, totals, factors)
+		}
+	}
+	return factors
+}
+
+func ruleAllows(rules []config.Rule, id fleet.DataCentreID) bool {
+	for _, r := range rules {
+		listed := slices.Contains(r.Centres, id)
+		if r.Kind == config.RuleOnly && !listed || r.Kind == config.RuleExclude && listed {
+			return false
+		}
+	}
+	return true
+}
+
+// limitShare lowers the factors of the rule's data centres so that none of them
+// gets more than the rule's share of the whole, as long as others have weight.
+func limitShare(r config.Rule, totals, factors map[fleet.DataCentreID]float64) {
+	for _, id := range r.Centres {
+		var others float64
+		for other, total := range totals {
+			if other != id {
+				others += total
+			}
+		}
+		most := r.MaxShare / (1 - r.MaxShare) * others
+		if totals[id] > most && most > 0 {
+			factors[id] *= most / totals[id]
+			totals[id] = most
+		}
+	}
+}
--- a/settings/normal.go
+++ b/settings/normal.go
@@ -17,6 +17,7 @@
 	DefaultMessageBytes    = 1 << 20
 	DefaultPacketWorkers   = 2
 	DefaultLogLevel        = "info"
+	DefaultAnswerPort      = uint16(5555)
 )
 
 // Normalised returns the settings with every default filled in.
@@ -30,6 +31,7 @@
 	s.Limits.QueuedMessages = cmp.Or(s.Limits.QueuedMessages, DefaultQueuedMessages)
 	s.Limits.MessageBytes = cmp.Or(s.Limits.MessageBytes, DefaultMessageBytes)
 	s.Limits.PacketWorkers = cmp.Or(s.Limits.PacketWorkers, DefaultPacketWorkers)
+	s.Listen.AnswerPort = cmp.Or(s.Listen.AnswerPort, DefaultAnswerPort)
 	s.Log.Level = cmp.Or(s.Log.Level, DefaultLogLevel)
 	return s
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -29,6 +29,9 @@
 	Request netip.AddrPort `toml:"request"` // HTTP requests from callers
 	Peer    netip.AddrPort `toml:"peer"`    // WebSocket from peers, and UDP heartbeats on the same port
 	Admin   netip.AddrPort `toml:"admin"`   // /metrics, /healthz, /readyz, /status
+	// AnswerPort is the UDP port at which the callers' network takes
+	// encapsulated packets, such as the resets that this host sends; default 5555.
+	AnswerPort uint16 `toml:"answer_port"`
 }
 
 // Platform tells how the host reaches the platform's object API.
