Serve requests through the host's door

Cause: claims and requests had no shell. Change: the host connects the door to the control state; a claim waits for its verdict, or is cancelled with its caller.

--- a/host/host.go
+++ b/host/host.go
@@ -39,6 +39,9 @@
 	// Record, if set, is called with every control event, by one goroutine.
 	Record func(now time.Time, event control.Event)
 
+	// Notify, if set, is called when Status has changed, by one goroutine.
+	Notify func(status.Host)
+
 	once    sync.Once
 	parts   *parts
 	killed  chan struct{}
@@ -138,6 +141,9 @@
 	p.loop = newLoop(h, p)
 	p.hub = h.newHub(p)
 	p.requests = newRequestDoor(h, p)
+	if err := p.requests.door.Register(h.Registry); err != nil {
+		return errors.Wrap(err, "register the metrics of requests")
+	}
 	h.parts = p
 	return nil
 }
@@ -166,6 +172,7 @@
 func (h *Host) serve(ctx context.Context) error {
 	running, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	defer close(h.parts.loop.ended)
 	tree := h.tree()
 	done := tree.ServeBackground(running)
 	h.Logger.Info("started", "host", h.Settings.Host, "data_centre", h.Settings.DataCentre)
--- /dev/null
+++ b/host/host_test.go
@@ -0,0 +1,208 @@
+package host_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/matryer/is"
+
+	"github.com/rattanthread/rattanthread/config"
+	"github.com/rattanthread/rattanthread/fleet"
+	"github.com/rattanthread/rattanthread/host"
+	"github.com/rattanthread/rattanthread/platform"
+	"github.com/rattanthread/rattanthread/platformstandin"
+	"github.com/rattanthread/rattanthread/settings"
+	"github.com/rattanthread/rattanthread/status"
+)
+
+const testKey = "00112233445566778899aabbccddeeff"
+
+// freePorts returns loopback addresses that were free a moment ago, on an
+// address of the test's own.
+func freePorts(t *testing.T, n int) []netip.AddrPort {
+	t.Helper()
+	is := is.New(t)
+	var ports []netip.AddrPort
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		defer func() { _ = l.Close() }()
+		ports = append(ports, netip.MustParseAddrPort(l.Addr().String()))
+	}
+	return ports
+}
+
+// fleetOf starts hosts and waits until each is ready with a revision.
+type fleetOf struct {
+	t        *testing.T
+	hosts    map[fleet.HostID]*host.Host
+	settings map[fleet.HostID]settings.Settings
+	changed  chan struct{}
+	stop     map[fleet.HostID]context.CancelFunc
+	done     sync.WaitGroup
+}
+
+func startFleet(t *testing.T, url string, ids ...fleet.HostID) *fleetOf {
+	f := &fleetOf{
+		t:        t,
+		hosts:    make(map[fleet.HostID]*host.Host),
+		settings: make(map[fleet.HostID]settings.Settings),
+		changed:  make(chan struct{}, 1),
+		stop:     make(map[fleet.HostID]context.CancelFunc),
+	}
+	for _, id := range ids {
+		p := freePorts(t, 5)
+		f.settings[id] = settings.Settings{
+			Host:       id,
+			DataCentre: "tp1",
+			Listen:     settings.Listen{Packet: p[0], Handoff: p[1], Request: p[2], Peer: p[3], Admin: p[4]},
+			Platform:   settings.Platform{URL: url},
+			Peers:      settings.Peers{Key: testKey},
+		}
+		f.start(id)
+	}
+	t.Cleanup(f.stopAll)
+	return f
+}
+
+func (f *fleetOf) start(id fleet.HostID) {
+	h := &host.Host{Settings: f.settings[id], Notify: f.notify}
+	ctx, cancel := context.WithCancel(context.Background())
+	f.hosts[id], f.stop[id] = h, cancel
+	f.done.Go(func() {
+		if err := h.Run(ctx); err != nil {
+			f.t.Errorf("run %s: %v", id, err)
+		}
+	})
+}
+
+func (f *fleetOf) notify(status.Host) {
+	select {
+	case f.changed <- struct{}{}:
+	default:
+	}
+}
+
+func (f *fleetOf) stopAll() {
+	for _, h := range f.hosts {
+		h.Kill()
+	}
+	for _, cancel := range f.stop {
+		cancel()
+	}
+	f.done.Wait()
+}
+
+// await waits until every host satisfies the condition.
+func (f *fleetOf) await(condition func(status.Host) bool) {
+	for !f.all(condition) {
+		<-f.changed
+	}
+}
+
+func (f *fleetOf) all(condition func(status.Host) bool) bool {
+	for _, h := range f.hosts {
+		if !condition(h.Status()) {
+			return false
+		}
+	}
+	return true
+}
+
+func publish(t *testing.T, url string, set config.Set) {
+	t.Helper()
+	is := is.New(t)
+	client := &platform.Client{URL: url}
+	head, err := client.Head(t.Context())
+	is.NoErr(err)
+	_, err = client.Publish(t.Context(), head, set, uuid.NewString())
+	is.NoErr(err)
+}
+
+func requestSet(server netip.AddrPort) config.Set {
+	return config.Set{
+		DataCentres: []config.DataCentre{{Name: "tp1", State: config.StateIn}},
+		Services:    []config.Service{{Name: "scores", Kind: config.KindRequest, Host: "scores.test"}},
+		Servers: []config.Server{{
+			Name: "scores-1", Service: "scores", DataCentre: "tp1", Address: server, HealthAddress: server, ColdRate: 1000,
+		}},
+	}.Normalised()
+}
+
+// scoreServer answers health probes and counts the requests it runs.
+func scoreServer(t *testing.T, runs chan<- string) netip.AddrPort {
+	t.Helper()
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/health" {
+			_, _ = io.WriteString(w, `{"ready": true, "instance": "1"}`)
+			return
+		}
+		body, _ := io.ReadAll(r.Body)
+		runs <- string(body)
+		_, _ = io.WriteString(w, "ran "+string(body))
+	}
+	server := httptest.NewServer(http.HandlerFunc(handler))
+	t.Cleanup(server.Close)
+	return netip.MustParseAddrPort(server.Listener.Addr().String())
+}
+
+func post(t *testing.T, address netip.AddrPort, key, body string) (*http.Response, string) {
+	t.Helper()
+	is := is.New(t)
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+address.String()+"/", strings.NewReader(body))
+	is.NoErr(err)
+	r.Host = "scores.test"
+	r.Header.Set("Idempotency-Key", key)
+	answer, err := http.DefaultClient.Do(r)
+	is.NoErr(err)
+	defer func() { _ = answer.Body.Close() }()
+	text, err := io.ReadAll(answer.Body)
+	is.NoErr(err)
+	return answer, string(text)
+}
+
+func TestRequestRunsOnceThroughAnyHost(t *testing.T) {
+	is := is.New(t)
+	store := httptest.NewServer(&platformstandin.Server{})
+	t.Cleanup(store.Close)
+	runs := make(chan string, 100)
+	publish(t, store.URL, requestSet(scoreServer(t, runs)))
+	f := startFleet(t, store.URL, "a1", "a2", "a3")
+	f.await(func(s status.Host) bool { return s.Ready && s.Revision == 1 && isWarm(s) })
+
+	key := uuid.Must(uuid.NewV7()).String()
+	for _, id := range []fleet.HostID{"a1", "a2", "a3"} {
+		answer, body := postUntilAnswered(t, f.settings[id].Listen.Request, key, "score 7")
+		is.Equal(answer.StatusCode, http.StatusOK)
+		is.Equal(body, "ran score 7")
+	}
+	is.Equal(len(runs), 1) // the later attempts got the first one's answer
+}
+
+func isWarm(s status.Host) bool {
+	return len(s.Servers) > 0
+}
+
+// postUntilAnswered repeats a refused request: a server that is cold gives
+// credit only after it was asked.
+func postUntilAnswered(t *testing.T, address netip.AddrPort, key, body string) (*http.Response, string) {
+	t.Helper()
+	for {
+		answer, text := post(t, address, key, body)
+		if answer.Header.Get("Request-Outcome") != "refused" {
+			return answer, text
+		}
+		t.Log(answer.StatusCode, answer.Header.Get("Request-Reason"))
+		retry := time.NewTimer(50 * time.Millisecond)
+		<-retry.C
+	}
+}
--- a/host/loop.go
+++ b/host/loop.go
@@ -34,6 +34,7 @@
 	window     *packet.Window // of handed packets seen, shared by the handoff workers
 	superseded chan struct{}
 	stopped    chan struct{}
+	ended      chan struct{} // closed when the host has ended
 }
 
 func newLoop(h *Host, p *parts) *loop {
@@ -44,6 +45,7 @@
 		window:     new(packet.Window),
 		superseded: make(chan struct{}),
 		stopped:    make(chan struct{}),
+		ended:      make(chan struct{}),
 	}
 	l.core.Store(l.newCore())
 	return l
@@ -116,10 +118,18 @@
 
 func (l *loop) step(core *control.Core, event control.Event) {
 	now := l.host.Now()
+	ask, asks := event.(*claimAsk)
+	if asks {
+		event = &ask.ClaimAsked
+	}
 	if l.host.Record != nil {
 		l.host.Record(now, event)
 	}
 	out := core.Step(now, event)
+	if asks {
+		l.parts.requests.claimed(ask, out.Attempt)
+	}
+	l.parts.requests.answer(out.Verdicts)
 	l.stepped.Store(now.UnixNano())
 	for _, send := range out.Sends {
 		l.parts.hub.Send(send)
@@ -138,6 +148,9 @@
 	state := describe(l.host, s)
 	old := l.host.state.Swap(&state)
 	l.logChanges(old, &state)
+	if l.host.Notify != nil {
+		l.host.Notify(state)
+	}
 	l.parts.counters.revision.Set(float64(state.Revision))
 	if s.Superseded {
 		select {
@@ -172,6 +185,19 @@
 	}
 }
 
+// offer queues an event that must not be lost. It reports whether the event was
+// queued before ctx or the host ended.
+func (l *loop) offer(ctx context.Context, event control.Event) bool {
+	select {
+	case l.events <- event:
+		return true
+	case <-ctx.Done():
+		return false
+	case <-l.ended:
+		return false
+	}
+}
+
 // stop takes the planned stop through the control state.
 func (l *loop) stop(ctx context.Context) {
 	select {
