--- /dev/null
+++ b/flow/export_test.go
@@ -0,0 +1,20 @@
+package flow
+
+import "github.com/rattanthread/rattanthread/fleet"
+
+// BuildTable exports buildTable: weights by server, slots by position in ids.
+func BuildTable(ids []fleet.ServerID, weights []fleet.Weight) []uint16 {
+	var shares []share
+	for i, id := range ids {
+		if weights[i] > 0 {
+			shares = append(shares, newShare(uint16(i), id, weights[i]))
+		}
+	}
+	return buildTable(shares)
+}
+
+// NegativeLog exports negativeLog.
+func NegativeLog(u uint64) float64 { return float64(negativeLog(u)) / (1 << logFraction) }
+
+// Mix exports mix.
+func Mix(seed, n uint64) uint64 { return mix(seed, n) }
