Split moved slots and track only the flows they concern

Until now a changed table sent the established flows of moved slots elsewhere.

A moved slot is split: its owner sends unrecorded flows to the agreed server, places new ones on the target once the view is settled, and copies their records to its successor. New owners fetch what their peers know, and the former owner stops deciding before it answers.

--- a/flow/decision.go
+++ b/flow/decision.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"github.com/rattanthread/rattanthread/fleet"
 )
@@ -49,7 +50,9 @@
 	Server  fleet.ServerID // for Forward
 	Address netip.AddrPort // for Forward
 	Host    fleet.HostID   // for HandOff
-	Reason  Reason
+	// SilentTimeout is that of the service; for Silence.Observe.
+	SilentTimeout time.Duration
+	Reason        Reason
 }
 
 // Reason tells why a decision was made. There is one counter for each.
@@ -61,6 +64,8 @@
 	ReasonRecord         Reason = "record"          // forwarded: the flow is recorded
 	ReasonAgreed         Reason = "agreed"          // forwarded: an unrecorded flow of a split slot
 	ReasonPlaced         Reason = "placed"          // forwarded: a new flow in a split slot
+	ReasonReused         Reason = "reused"          // forwarded: a new flow with the five-tuple of one that ended
+	ReasonLate           Reason = "late"            // forwarded: a packet of a recorded flow that has ended
 	ReasonSplit          Reason = "split"           // handed off: the owner of the slot decides
 	ReasonUnknownAddress Reason = "unknown_address" // dropped: no service has this address
 	ReasonNotReady       Reason = "not_ready"       // dropped: split slots are not known yet
--- a/flow/router.go
+++ b/flow/router.go
@@ -1,7 +1,7 @@
 package flow
 
 import (
-	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -10,16 +10,48 @@
 
 // Limits bounds what a Router keeps. Zero fields take defaults.
 type Limits struct {
-	Records  int // recorded flows; default 200,000
-	HalfOpen int // flows of which only a SYN was seen; default 65,536
+	// Records is how many flows are recorded, copies included; default 200,000.
+	// At the limit, new flows go to the agreed server of their slot if it takes
+	// any, and are refused otherwise.
+	Records int
 	// ControlBytes is how many bytes of copied records a host sends in a
 	// second; default 3,000.
 	ControlBytes int
 }
 
+const (
+	defaultRecords      = 200_000
+	defaultControlBytes = 3_000
+	// copyQueue is how many new records may wait to be copied.
+	copyQueue = 16_384
+	// handedFlows is how many new flows, handed to owners, are remembered.
+	handedFlows = 8_192
+	// hostMark is how long a host is remembered as living or leaving before the
+	// view says so.
+	hostMark = 10 * time.Second
+)
+
+// Stats counts what a Router did besides its decisions.
+type Stats struct {
+	Records         int64 // flows recorded now, copies included
+	Splits          int64 // slots split now
+	HalfOpenEvicted int64 // half-open flows pushed out by others
+	Uncopied        int64 // records that were not copied: too many were waiting
+	CopiesRefused   int64 // copies refused at the limit of records
+	FetchTimeouts   int64 // fetches that ended before every peer had answered
+	Unsynced        int64 // 1 if the host became ready without an answer from a peer
+	Retired         int64 // splits retired by this host
+}
+
+type counters struct {
+	splits, halfOpenEvicted, uncopied, copiesRefused, fetchTimeouts, unsynced, retired atomic.Int64
+}
+
 // Router decides about packets. The zero value works once a View is installed.
-// Install, Receive, Tick and Stop belong to one goroutine; Decide and Ready may
-// be called by any.
+//
+// Install, Receive, Tick and Stop belong to one goroutine, the control
+// goroutine. Decide, Ready and Stats may be called by any. Tick is meant to be
+// called ten times a second.
 type Router struct {
 	Limits Limits
 	// Key is mixed into the hash of a flow. It is the same on all hosts.
@@ -28,53 +60,231 @@
 	// called by the goroutines that call Decide. Nil means that there is none.
 	Credit func(fleet.ServerID) bool
 
-	view atomic.Pointer[View]
+	snapshot atomic.Pointer[snapshot]
+	count    atomic.Int64 // records
+	stats    counters
+	copies   ring[copiedFlow]
+	handed   ring[handedFlow]
+
+	// What follows belongs to the control goroutine.
+
+	view     View
+	ready    bool
+	owners   []fleet.HostID // live hosts, less those that leave
+	alive    map[fleet.HostID]time.Time
+	leaving  map[fleet.HostID]time.Time
+	services []*service // by index; never shrinks
+	byName   map[fleet.ServiceName]*service
+	dirty    bool
+	sync     syncState
+	fetches  map[uint64]*fetch
+	fetchID  uint64
+	copier   copier
+	sweepAt  int
+}
+
+// copiedFlow is a recorded flow that waits to be copied.
+type copiedFlow struct {
+	hash    uint64
+	service uint16
 }
 
-// Install makes v the view to decide by.
-func (r *Router) Install(_ time.Time, v View) []fleet.Send {
-	r.view.Store(&v)
-	return nil
+// handedFlow is a new flow that was handed to the owner of its slot.
+type handedFlow struct {
+	hash    uint64
+	service uint16
+	at      time.Time
 }
 
-// Decide tells what to do with a packet.
-func (r *Router) Decide(_ time.Time, in *Input) Decision {
-	v := r.view.Load()
-	if v == nil {
-		return Decision{Reason: ReasonNotReady}
+// Install makes v the view to decide by, and returns the messages to send.
+func (r *Router) Install(now time.Time, v View) []fleet.Send {
+	if r.byName == nil {
+		r.begin(now)
 	}
-	destination := in.Key.DestinationAddress()
-	for i := range v.Services {
-		s := &v.Services[i]
-		if s.Address != destination || s.Protocol != in.Key.Protocol {
-			continue
-		}
-		return pick(s, in)
+	r.view = v
+	if r.setHosts(now) {
+		r.assignOwners()
+	}
+	r.updateServices(now, v.Services)
+	var sends []fleet.Send
+	if !r.ready {
+		sends = r.repeatSync(now)
 	}
-	return Decision{Reason: ReasonUnknownAddress}
+	if v.Settled {
+		r.settle(now)
+	}
+	sends = append(sends, r.startFetches(now)...)
+	r.publish()
+	return sends
 }
 
-func pick(s *Service, in *Input) Decision {
-	for i := range s.Servers {
-		v := &s.Servers[(int(in.Key.SourcePort)+i)%len(s.Servers)]
-		if v.Weight > 0 && !v.Out && v.Admission == AdmitFreely {
-			return Decision{Action: Forward, Service: s.Name, Server: v.ID, Address: v.Address, Reason: ReasonTable}
-		}
+func (r *Router) begin(now time.Time) {
+	r.fetchID = uint64(now.UnixNano())
+	r.sync.since = now
+	r.byName = make(map[fleet.ServiceName]*service)
+	r.alive = make(map[fleet.HostID]time.Time)
+	r.leaving = make(map[fleet.HostID]time.Time)
+	r.fetches = make(map[uint64]*fetch)
+	r.copies.resize(copyQueue)
+	r.handed.resize(handedFlows)
+}
+
+// Tick does what is due at now: it copies and expires records, repeats messages
+// that were not answered, and retires splits.
+func (r *Router) Tick(now time.Time) []fleet.Send {
+	if r.byName == nil {
+		return nil
+	}
+	var sends []fleet.Send
+	if !r.ready {
+		sends = r.repeatSync(now)
+	}
+	if r.expireMarks(now) {
+		r.setHosts(now)
+		r.assignOwners()
 	}
-	return Decision{Action: Reset, Service: s.Name, Address: netip.AddrPort{}, Reason: ReasonNoServer}
+	sends = append(sends, r.repeatFetches(now)...)
+	sends = append(sends, r.startFetches(now)...)
+	sends = append(sends, r.sweep(now)...)
+	sends = append(sends, r.copy(now)...)
+	if r.dirty {
+		r.publish()
+	}
+	return sends
 }
 
-// Tick does what is due at now: it copies and expires records and retires splits.
-func (r *Router) Tick(time.Time) []fleet.Send { return nil }
+// Receive takes a message of another host. Messages may come late, twice, in
+// any order, or not at all.
+func (r *Router) Receive(now time.Time, from fleet.HostID, m fleet.Message) []fleet.Send {
+	if r.byName == nil || from == r.view.Self {
+		return nil
+	}
+	var sends []fleet.Send
+	switch m := m.(type) {
+	case *SplitsRequest:
+		delete(r.leaving, from)
+		sends = r.answerSync(from)
+	case *Splits:
+		r.receiveSplits(now, from, m)
+	case *Fetch:
+		sends = r.answerFetch(now, from, m)
+	case *Records:
+		r.receiveRecords(now, from, m)
+	case *Retire:
+		r.receiveRetire(m)
+	case *Leave:
+		r.leaving[from] = now
+		delete(r.alive, from)
+		r.setHosts(now)
+		r.assignOwners()
+	}
+	sends = append(sends, r.startFetches(now)...)
+	if r.dirty {
+		r.publish()
+	}
+	return sends
+}
 
-// Receive takes a message of another host.
-func (r *Router) Receive(time.Time, fleet.HostID, fleet.Message) []fleet.Send { return nil }
+// Stop announces a planned stop. The slots of this host go to other owners, which
+// fetch what it knows; until then it goes on deciding. The host should live on
+// for a second or two, and then leave the list of live hosts.
+func (r *Router) Stop(now time.Time) []fleet.Send {
+	if r.byName == nil {
+		return nil
+	}
+	sends := r.flushCopies(now)
+	for _, host := range r.peers() {
+		sends = append(sends, fleet.Send{To: host, Message: new(Leave)})
+	}
+	r.leaving[r.view.Self] = now
+	r.setHosts(now)
+	r.assignOwners()
+	r.publish()
+	return sends
+}
+
+// Ready reports whether the host knows which slots are split: it has learned
+// them from a peer, or there was none to ask. Until then Decide drops all packets.
+func (r *Router) Ready() bool {
+	s := r.snapshot.Load()
+	return s != nil && s.ready
+}
+
+// Stats returns the counters as they are now.
+func (r *Router) Stats() Stats {
+	c := &r.stats
+	return Stats{
+		Records:         r.count.Load(),
+		Splits:          c.splits.Load(),
+		HalfOpenEvicted: c.halfOpenEvicted.Load(),
+		Uncopied:        c.uncopied.Load(),
+		CopiesRefused:   c.copiesRefused.Load(),
+		FetchTimeouts:   c.fetchTimeouts.Load(),
+		Unsynced:        c.unsynced.Load(),
+		Retired:         c.retired.Load(),
+	}
+}
 
-// Stop gives up all owned slots before a planned stop.
-func (r *Router) Stop(time.Time) []fleet.Send { return nil }
+// hasRoom reports whether one more flow may be recorded.
+func (r *Router) hasRoom() bool {
+	limit := r.Limits.Records
+	if limit == 0 {
+		limit = defaultRecords
+	}
+	return r.count.Load() < int64(limit)
+}
 
-// Ready reports whether the host knows which slots are split.
-func (r *Router) Ready() bool { return r.view.Load() != nil }
+// peers returns the live hosts other than this one.
+func (r *Router) peers() []fleet.HostID {
+	var peers []fleet.HostID
+	for _, host := range r.view.Hosts {
+		if host != r.view.Self {
+			peers = append(peers, host)
+		}
+	}
+	return peers
+}
 
-// Messages returns one zero value of each message of this package.
-func Messages() []fleet.Message { return nil }
+// setHosts computes the hosts among which owners are chosen: the live ones, and
+// those that were heard of before the view knew them, less those that leave. It
+// reports whether they changed.
+func (r *Router) setHosts(now time.Time) bool {
+	hosts, self := r.view.Hosts, r.view.Self
+	r.expireMarks(now)
+	for _, host := range hosts {
+		delete(r.alive, host)
+	}
+	for host := range r.leaving {
+		if host != self && !slices.Contains(hosts, host) {
+			delete(r.leaving, host)
+		}
+	}
+	var owners []fleet.HostID
+	for _, host := range hosts {
+		if _, ok := r.leaving[host]; !ok {
+			owners = append(owners, host)
+		}
+	}
+	for host := range r.alive {
+		owners = append(owners, host)
+	}
+	slices.Sort(owners)
+	changed := !slices.Equal(owners, r.owners)
+	r.owners = owners
+	return changed
+}
+
+// expireMarks forgets what was heard of hosts long ago, and reports whether
+// there was any.
+func (r *Router) expireMarks(now time.Time) bool {
+	expired := false
+	for _, marks := range []map[fleet.HostID]time.Time{r.alive, r.leaving} {
+		for host, at := range marks {
+			if host != r.view.Self && now.Sub(at) > hostMark {
+				delete(marks, host)
+				expired = true
+			}
+		}
+	}
+	return expired
+}
--- /dev/null
+++ b/flow/split.go
@@ -0,0 +1,90 @@
+package flow
+
+import (
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rattanthread/rattanthread/fleet"
+)
+
+// udpDrainWindow is for how long after a split unrecorded UDP flows are taken to
+// be on a server that admits no new ones.
+const udpDrainWindow = 5 * time.Second
+
+// preferences is how many servers of a split slot are ranked ahead of need.
+const preferences = 4
+
+// split is one split slot as the traffic goroutines see it.
+type split struct {
+	slot, agreed, target uint16
+	owned                bool
+	owner                fleet.HostID
+	since                time.Time
+	preference           [preferences]uint16
+	live                 *slotFlows
+}
+
+// authority is what a host may decide about the flows of a split slot that it
+// has no record of.
+type authority uint8
+
+const (
+	authorityNone   authority = iota // nothing
+	authorityAgreed                  // they are all on the agreed server
+	authorityFull                    // as authorityAgreed, and new flows go to the target
+)
+
+// slotFlows is what a host knows of the flows of a split slot. It is shared by
+// the control goroutine and the traffic goroutines.
+type slotFlows struct {
+	mu        sync.Mutex
+	authority authority
+	// lastOther is when a packet was last sent to another server than the target.
+	lastOther time.Time
+	records   recordSet
+	halfOpen  *halfOpenSet
+}
+
+// grant gives authority to decide, and makes room for half-open flows.
+func (f *slotFlows) grant(a authority) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.authority = a
+	if f.halfOpen == nil {
+		f.halfOpen = new(halfOpenSet)
+	}
+}
+
+func (f *slotFlows) current() authority {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.authority
+}
+
+// release gives up authority. Decisions made before it are in the records.
+func (f *slotFlows) release() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.authority = authorityNone
+}
+
+// slotState is what the control goroutine keeps about a split slot.
+type slotState struct {
+	slot      uint16
+	owner     fleet.HostID
+	successor fleet.HostID
+	// fetch is the ID of the fetch under way for this slot, or zero.
+	fetch      uint64
+	target     uint16
+	preference [preferences]uint16
+	since      time.Time // when it was split
+	settled    time.Time // when all hosts knew that; zero: not yet
+	refreshed  time.Time // when all its records were last copied
+	live       *slotFlows
+}
+
+// ownerKey is the rendezvous key of a slot.
+func ownerKey(name fleet.ServiceName, slot uint16) string {
+	return "slot/" + string(name) + "/" + strconv.Itoa(int(slot))
+}
--- /dev/null
+++ b/flow/sweep.go
@@ -0,0 +1,93 @@
+package flow
+
+import (
+	"time"
+
+	"github.com/rattanthread/rattanthread/fleet"
+)
+
+// sweepShare is the number of ticks in which every split slot is visited once.
+const sweepShare = 16
+
+// sweep visits a share of the split slots: it drops records that are due, and
+// retires the splits that are over.
+func (r *Router) sweep(now time.Time) []fleet.Send {
+	r.sweepAt = (r.sweepAt + 1) % sweepShare
+	var sends []fleet.Send
+	for _, s := range r.services {
+		var over []uint16
+		for slot, state := range s.splits {
+			if int(slot)%sweepShare == r.sweepAt && r.sweepSlot(now, s, state) {
+				over = append(over, slot)
+			}
+		}
+		if len(over) > 0 {
+			sends = append(sends, r.retire(s, over)...)
+		}
+	}
+	return sends
+}
+
+// sweepSlot drops the records of a slot that are due, and reports whether this
+// host owns the split and it is over: no flow has used another server than the
+// target for the idle timeout, and the target admits freely.
+func (r *Router) sweepSlot(now time.Time, s *service, state *slotState) bool {
+	idle := s.idleTimeout()
+	f := state.live
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r.count.Add(int64(-f.records.expire(seconds(now), idle)))
+	if state.owner != r.view.Self || f.authority != authorityFull {
+		return false
+	}
+	target := s.target[state.slot]
+	if target == noServer || !s.servers[target].usable() || s.servers[target].admission != AdmitFreely {
+		return false
+	}
+	return now.Sub(f.lastOther) > idle
+}
+
+// retire makes slots whole and tells all peers. A peer that misses it goes on
+// handing off the packets of these slots, and they still reach the same server.
+func (r *Router) retire(s *service, slots []uint16) []fleet.Send {
+	for _, slot := range slots {
+		s.agreed[slot] = s.target[slot]
+		s.epochs[slot]++
+		r.dropSplit(s, slot)
+	}
+	r.stats.retired.Add(int64(len(slots)))
+	m := &Retire{Service: s.name, Agreed: s.agreedSlots(slots)}
+	var sends []fleet.Send
+	for _, peer := range r.peers() {
+		sends = append(sends, fleet.Send{To: peer, Message: m})
+	}
+	return sends
+}
+
+func (r *Router) receiveRetire(m *Retire) {
+	if s := r.byName[m.Service]; s != nil && s.present && r.ready {
+		r.takeAgreed(m.Agreed, s)
+	}
+}
+
+// takeAgreed takes the agreed servers of slots that were retired since this host
+// last heard of them.
+func (r *Router) takeAgreed(agreed []AgreedSlots, s *service) {
+	for _, a := range agreed {
+		for _, slot := range a.Slots {
+			if slot >= SlotCount || a.Epoch <= s.epochs[slot] {
+				continue
+			}
+			s.epochs[slot] = a.Epoch
+			s.agreed[slot] = s.serverIndex(a.Server)
+			s.view = nil
+			r.dirty = true
+			switch {
+			case s.whole(slot) && s.splits[slot] != nil:
+				r.dropSplit(s, slot)
+			case !s.whole(slot) && s.splits[slot] == nil:
+				r.addSplit(time.Time{}, s, slot, authorityNone)
+			}
+		}
+	}
+}
