standin: let time at work warm a server, and tell timeouts from cuts

Cause: a server's warm-up is declared as a time under load, not as an amount of work; a caller's own timeout is not a cut connection.

Change: Warmth doubles its bound by time in which work is served; a break notes when the unanswered message was sent; reports name the server's life.

--- a/standin/callerflow.go
+++ b/standin/callerflow.go
@@ -26,7 +26,6 @@
 	due       time.Time
 	opened    time.Time
 	firstSent time.Time
-	heard     time.Time
 	server    fleet.ServerID
 }
 
@@ -244,6 +243,5 @@
 
 func (f *callerFlow) answered(now time.Time) {
 	f.waiting = false
-	f.heard = now
 	f.due = now.Add(f.caller.Interval)
 }
--- a/standin/flow_test.go
+++ b/standin/flow_test.go
@@ -226,10 +226,11 @@
 			w := standin.Warmth{ColdRate: 10, WarmupTime: 3 * time.Second}
 			w.Cold()
 			for i := range 40 {
+				now := start.Add(time.Duration(i) * 100 * time.Millisecond)
 				for range tt.perTick {
-					w.Arrive(start.Add(time.Duration(i) * 100 * time.Millisecond))
+					w.Arrive(now)
 					if tt.served {
-						w.Serve()
+						w.Serve(now)
 					}
 				}
 			}
--- a/standin/flowcaller.go
+++ b/standin/flowcaller.go
@@ -75,9 +75,9 @@
 	Service fleet.ServiceName `json:"service"`
 	Server  fleet.ServerID    `json:"server"`
 	Cause   BreakCause        `json:"cause"`
-	// LastHeard is when the caller last had an answer on the flow.
-	LastHeard time.Time `json:"last_heard"`
-	Noticed   time.Time `json:"noticed"`
+	// Sent is when the message that was not properly answered was first sent.
+	Sent    time.Time `json:"sent"`
+	Noticed time.Time `json:"noticed"`
 }
 
 // BreakCause tells how a caller noticed that a flow broke.
@@ -310,11 +310,11 @@
 		c.report.Crossed++
 	}
 	c.report.Breaks = append(c.report.Breaks, Break{
-		Service:   c.Service,
-		Server:    flow.server,
-		Cause:     cause,
-		LastHeard: flow.heard,
-		Noticed:   now,
+		Service: c.Service,
+		Server:  flow.server,
+		Cause:   cause,
+		Sent:    flow.firstSent,
+		Noticed: now,
 	})
 }
 
--- a/standin/flowserver.go
+++ b/standin/flowserver.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"strconv"
 	"sync"
 	"time"
 
@@ -127,7 +128,7 @@
 	}
 	flow.lastSeen = now
 	s.counts.Messages++
-	s.Warmth.Serve()
+	s.Warmth.Serve(now)
 	answer := p.reply()
 	answer.Payload = s.answer(p.Payload)
 	return answer
@@ -149,7 +150,7 @@
 		return reset(p), true
 	}
 	flow.lastSeen = now
-	return s.segment(key, flow, p), true
+	return s.segment(now, key, flow, p), true
 }
 
 func (s *FlowServer) open(now time.Time, key fleet.FlowKey, p Packet) Packet {
@@ -179,7 +180,7 @@
 
 // segment takes a packet of a known flow. Only the expected segment is new;
 // any other gets the latest answer again.
-func (s *FlowServer) segment(key fleet.FlowKey, flow *serverFlow, p Packet) Packet {
+func (s *FlowServer) segment(now time.Time, key fleet.FlowKey, flow *serverFlow, p Packet) Packet {
 	length := p.segmentLength()
 	if p.Sequence != flow.next || length == 0 {
 		if length > 0 {
@@ -198,7 +199,7 @@
 		return answer
 	}
 	s.counts.Messages++
-	s.Warmth.Serve()
+	s.Warmth.Serve(now)
 	answer.Payload = s.answer(p.Payload)
 	flow.sent += uint32(len(answer.Payload))
 	flow.last = answer
@@ -252,6 +253,7 @@
 	defer s.mu.Unlock()
 	return Load{
 		Ready:          true,
+		Instance:       strconv.FormatUint(uint64(s.life), 10),
 		Connections:    len(s.flows),
 		MaxConnections: s.MaxConnections,
 		Load:           ratio(len(s.flows), s.MaxConnections),
--- a/standin/health.go
+++ b/standin/health.go
@@ -9,7 +9,10 @@
 
 // Load is what a backend server says of itself at its health endpoint.
 type Load struct {
-	Ready          bool    `json:"ready"`
+	Ready bool `json:"ready"`
+	// Instance identifies the life of the server process; it is empty when the
+	// server does not tell.
+	Instance       string  `json:"instance,omitempty"`
 	Draining       bool    `json:"draining"`
 	Load           float64 `json:"load"` // from 0 to 1
 	InFlight       int     `json:"in_flight"`
--- a/standin/requestcaller.go
+++ b/standin/requestcaller.go
@@ -11,9 +11,11 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/go-faster/errors"
 	"github.com/google/uuid"
 
 	"github.com/rattanthread/rattanthread/fleet"
@@ -60,6 +62,8 @@
 	Unknown  uint64 `json:"unknown"`
 	// NotConnected is the attempts that found no entry host to talk to.
 	NotConnected uint64 `json:"not_connected"`
+	// TimedOut is the attempts without an answer within Timeout.
+	TimedOut uint64 `json:"timed_out"`
 	// Cut is the attempts whose connection ended before the whole answer.
 	Cut     uint64 `json:"cut"`
 	Crossed uint64 `json:"crossed"` // answers to another request
@@ -231,18 +235,18 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
 	defer cancel()
-	connected := false
+	var connected atomic.Bool
 	transport := &http.Transport{
 		DisableKeepAlives: true,
 		DialContext: func(ctx context.Context, network, _ string) (net.Conn, error) {
 			var dialer net.Dialer
 			conn, err := dialer.DialContext(ctx, network, address.String())
-			connected = err == nil
+			connected.Store(err == nil)
 			return conn, err
 		},
 	}
 	response, err := transport.RoundTrip(c.build(ctx, request))
-	if err != nil && !connected {
+	if err != nil && !connected.Load() {
 		c.count(func(r *RequestReport) { r.NotConnected++ })
 		return OutcomeRefused
 	}
@@ -295,6 +299,10 @@
 }
 
 func (c *RequestCaller) cut(host netip.AddrPort, err error) Outcome {
+	if errors.Is(err, context.DeadlineExceeded) {
+		c.count(func(r *RequestReport) { r.TimedOut++ })
+		return OutcomeUnknown
+	}
 	c.count(func(r *RequestReport) {
 		r.Cut++
 		if len(r.Cuts) < maxCutsKept {
--- a/standin/requestserver.go
+++ b/standin/requestserver.go
@@ -238,7 +238,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.counts.Finished++
-	s.Warmth.Serve()
+	s.Warmth.Serve(s.now())
 }
 
 func (s *RequestServer) work(ctx context.Context, d time.Duration) error {
--- a/standin/warmth.go
+++ b/standin/warmth.go
@@ -6,15 +6,16 @@
 )
 
 // Warmth models what a backend server bears after a start. A cold server bears
-// ColdRate new flows or requests a second. Served work warms it: after
-// ColdRate times WarmupTime pieces of work it bears any rate. Above
-// fallFactor times what it bears, it falls over. Warmth is not safe for
-// concurrent use.
+// ColdRate new flows or requests a second. Work warms it: what it bears doubles
+// growthSteps times within WarmupTime, counting only the time in which it
+// serves. A warm server bears any rate. Above fallFactor times what it bears,
+// a server falls over. Warmth is not safe for concurrent use.
 type Warmth struct {
 	ColdRate   float64 // new flows or requests a second; zero means always warm
 	WarmupTime time.Duration
 
-	served   float64
+	progress float64     // from 0, cold, to 1, warm
+	busy     time.Time   // when it last got or served work
 	arrivals []time.Time // of the last window
 	counts   WarmthCounts
 }
@@ -35,23 +36,25 @@
 	warmthWindow = time.Second // of a cold server's rate
 	fallFactor   = 2           // times the bound
 	growthSteps  = 4           // doublings of the bound from cold to warm
+	idleLimit    = time.Second // of a pause in the work that still warms
 )
 
 // Cold makes the server cold.
 func (w *Warmth) Cold() {
-	w.served = 0
+	w.progress = 0
+	w.busy = time.Time{}
 	w.arrivals = w.arrivals[:0]
 	w.counts.Starts++
 }
 
 // Warm makes the server warm at once.
 func (w *Warmth) Warm() {
-	w.served = math.Inf(1)
+	w.progress = 1
 }
 
 // IsWarm reports whether the server bears any rate.
 func (w *Warmth) IsWarm() bool {
-	return w.progress() >= 1
+	return w.progress >= 1 || w.ColdRate <= 0 || w.WarmupTime <= 0
 }
 
 // Arrive counts one piece of new work. It reports false when the server falls
@@ -60,6 +63,9 @@
 	if w.IsWarm() {
 		return true
 	}
+	if w.busy.IsZero() {
+		w.busy = now
+	}
 	w.forget(now)
 	w.arrivals = append(w.arrivals, now)
 	w.counts.ColdArrivals++
@@ -77,9 +83,15 @@
 	return true
 }
 
-// Serve counts one piece of work as done, which warms the server.
-func (w *Warmth) Serve() {
-	w.served++
+// Serve counts one piece of work as done, which warms the server. Time without
+// work does not, but for idleLimit.
+func (w *Warmth) Serve(now time.Time) {
+	if w.IsWarm() || w.busy.IsZero() {
+		return
+	}
+	worked := min(idleLimit, now.Sub(w.busy))
+	w.progress += worked.Seconds() / w.WarmupTime.Seconds()
+	w.busy = now
 }
 
 // Counts returns how the cold starts went so far.
@@ -90,23 +102,18 @@
 // slowdown is how much longer work takes than at a warm server.
 func (w *Warmth) slowdown() float64 {
 	const coldSlowdown = 4 // times the warm service time
-	return coldSlowdown - (coldSlowdown-1)*min(1, w.progress())
+	if w.IsWarm() {
+		return 1
+	}
+	return coldSlowdown - (coldSlowdown-1)*w.progress
 }
 
 // bound is the new work that the server bears in one window.
 func (w *Warmth) bound() float64 {
-	rate := w.ColdRate * math.Pow(2, growthSteps*w.progress())
+	rate := w.ColdRate * math.Pow(2, growthSteps*w.progress)
 	return max(1, math.Ceil(rate*warmthWindow.Seconds()))
 }
 
-func (w *Warmth) progress() float64 {
-	needed := w.ColdRate * w.WarmupTime.Seconds()
-	if needed <= 0 {
-		return 1
-	}
-	return w.served / needed
-}
-
 func (w *Warmth) forget(now time.Time) {
 	first := 0
 	for first < len(w.arrivals) && now.Sub(w.arrivals[first]) >= warmthWindow {
