--- a/control/event.go
+++ b/control/event.go
@@ -115,3 +115,8 @@
 
 // TickInterval is how often the shell gives a Tick.
 const TickInterval = 100 * time.Millisecond
+
+// StaleAfter is how long the control state may stand still before traffic
+// goroutines stop deciding by it: the process was paused, and others may have
+// replaced it.
+const StaleAfter = 2 * time.Second
--- /dev/null
+++ b/faultmatrix/network.go
@@ -0,0 +1,54 @@
+package faultmatrix
+
+import (
+	"time"
+
+	"github.com/rattanthread/rattanthread/fleet"
+)
+
+const (
+	delayInside  = 300 * time.Microsecond // one way, in a data centre
+	delayBetween = 3 * time.Millisecond   // one way, between data centres
+	delayJitter  = time.Millisecond
+)
+
+// network carries messages and packets between entry hosts, and between them
+// and backend servers.
+type network struct {
+	world *World
+	loss  float64 // share of messages lost
+	// split cuts the data centres off from each other.
+	split bool
+	// cutLinks are one-way links between hosts that carry nothing.
+	cutLinks map[link]bool
+	bytes    map[fleet.HostID]int
+}
+
+type link struct{ from, to fleet.HostID }
+
+func (n *network) cut(from, to fleet.HostID) {
+	if n.cutLinks == nil {
+		n.cutLinks = make(map[link]bool)
+	}
+	n.cutLinks[link{from, to}] = true
+}
+
+// reaches reports whether the network carries anything between two sites.
+func (n *network) reaches(a, b fleet.DataCentreID) bool { return a == b || !n.split }
+
+// carry calls deliver when what from sends arrives, or never.
+func (n *network) carry(from, to fleet.HostID, deliver func()) {
+	a, b := centreOf(from), centreOf(to)
+	if !n.reaches(a, b) || n.cutLinks[link{from, to}] || n.world.random.Float64() < n.loss {
+		return
+	}
+	n.world.after(n.delay(a, b), deliver)
+}
+
+func (n *network) delay(a, b fleet.DataCentreID) time.Duration {
+	delay := delayInside
+	if a != b {
+		delay = delayBetween
+	}
+	return delay + time.Duration(n.world.random.Int64N(int64(delayJitter)))
+}
--- a/host/host.go
+++ b/host/host.go
@@ -17,6 +17,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/rattanthread/rattanthread/backend"
 	"github.com/rattanthread/rattanthread/control"
 	"github.com/rattanthread/rattanthread/fleet"
 	"github.com/rattanthread/rattanthread/peer"
@@ -58,7 +59,7 @@
 	hub       *peer.Hub
 	client    *platform.Client
 	loop      *loop
-	handshake handshakes
+	handshake backend.Handshakes
 	requests  *requestDoor
 }
 
--- a/host/loop.go
+++ b/host/loop.go
@@ -16,13 +16,8 @@
 	"github.com/rattanthread/rattanthread/status"
 )
 
-const (
-	queuedEvents = 4096 // control events that wait
-	// staleAfter is how long the control state may stand still before traffic
-	// goroutines stop deciding: the process was paused, and others may have
-	// replaced it.
-	staleAfter = 2 * time.Second
-)
+// queuedEvents is how many control events may wait.
+const queuedEvents = 4096
 
 // loop is the goroutine that owns the control state.
 type loop struct {
@@ -216,7 +211,7 @@
 
 // isStale reports whether the control state has stood still for too long.
 func (l *loop) isStale(now time.Time) bool {
-	return now.UnixNano()-l.stepped.Load() > int64(staleAfter)
+	return now.UnixNano()-l.stepped.Load() > int64(control.StaleAfter)
 }
 
 // peerAddress returns where a peer listens.
--- a/host/packets.go
+++ b/host/packets.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/rattanthread/rattanthread/backend"
 	"github.com/rattanthread/rattanthread/fleet"
 	"github.com/rattanthread/rattanthread/flow"
 	"github.com/rattanthread/rattanthread/packet"
@@ -182,7 +183,10 @@
 
 // observe gives the control state what the handshake tells about the server.
 func (w *worker) observe(now time.Time, input *flow.Input, d *flow.Decision) {
-	if evidence, ok := w.parts.handshake.observe(now, input, d.Server); ok {
+	evidence, ok := w.parts.handshake.Observe(now, backend.Packet{
+		Key: input.Key, SYN: input.SYN, ACK: input.ACK, RST: input.RST, Server: d.Server,
+	})
+	if ok {
 		w.parts.loop.observe(evidence)
 	}
 }
