--- a/config/check_set.go
+++ b/config/check_set.go
@@ -153,7 +153,7 @@
 func intersection[T comparable](a, b []T) []T {
 	var common []T
 	for _, value := range a {
-		if slices.Contains(b, value) {
+		if slices.Contains(b, value) && !slices.Contains(common, value) {
 			common = append(common, value)
 		}
 	}
--- /dev/null
+++ b/config/delta_test.go
@@ -0,0 +1,215 @@
+package config_test
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/rattanthread/rattanthread/config"
+	"github.com/rattanthread/rattanthread/fleet"
+)
+
+// targetSet returns a set of the size that the system has to carry.
+func targetSet() config.Set { return sizedSet(5, 880, 3400) }
+
+func sizedSet(centres, services, servers int) config.Set {
+	var s config.Set
+	for i := range centres {
+		s.DataCentres = append(s.DataCentres, config.DataCentre{Name: centreName(i), Region: fleet.RegionID(fmt.Sprintf("r%d", i/3))})
+	}
+	for i := range services {
+		s.Services = append(s.Services, sizedService(i))
+	}
+	for i := range servers {
+		s.Servers = append(s.Servers, config.Server{
+			Name:          fleet.ServerID(fmt.Sprintf("service-%d-server-%d", i%services, i/services)),
+			Service:       sizedService(i % services).Name,
+			DataCentre:    centreName(i / services % centres),
+			Address:       netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), 8000),
+			HealthAddress: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), 9000),
+		})
+	}
+	return s.Normalised()
+}
+
+func centreName(i int) fleet.DataCentreID { return fleet.DataCentreID(fmt.Sprintf("dc-%d", i+1)) }
+
+func sizedService(i int) config.Service {
+	s := config.Service{Name: fleet.ServiceName(fmt.Sprintf("service-%d", i)), Kind: config.KindFlow}
+	if i%2 == 0 {
+		s.Kind = config.KindRequest
+		s.Host = fmt.Sprintf("service-%d.example.test", i)
+		return s
+	}
+	s.Address = netip.AddrPortFrom(netip.AddrFrom4([4]byte{11, 0, byte(i >> 8), byte(i)}), 443)
+	return s
+}
+
+func TestTargetSetIsGood(t *testing.T) {
+	is := is.New(t)
+	is.NoErr(config.Check(targetSet()).Err())
+}
+
+// TestApplyCompare draws pairs of sets, whose delta must turn one into the other
+// and nothing else into anything.
+func TestApplyCompare(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		old, updated := drawSet(t, "old"), drawSet(t, "updated")
+		encoded, err := config.Compare(old, updated).Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		delta, err := config.DecodeDelta(encoded)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := delta.Apply(old)
+		if err != nil || got.Digest() != updated.Digest() {
+			t.Fatalf("applied %v to %v: %v, %v", delta, old, got, err)
+		}
+		if delta.IsEmpty() != (old.Digest() == updated.Digest()) {
+			t.Fatal("a delta is empty exactly when the sets are equal")
+		}
+		other := drawSet(t, "other")
+		if _, err := delta.Apply(other); other.Digest() != old.Digest() && err == nil {
+			t.Fatal("a delta was applied to another set")
+		}
+	})
+}
+
+func drawSet(t *rapid.T, label string) config.Set {
+	full := sizedSet(2, 3, 6)
+	full.Rules = []config.Rule{{Name: "r", Service: "service-1", Kind: config.RuleOnly, Centres: []fleet.DataCentreID{"dc-1"}}}
+	keep := rapid.SliceOfN(rapid.Bool(), 12, 12).Draw(t, label)
+	set := config.Set{
+		DataCentres: some(full.DataCentres, keep),
+		Services:    some(full.Services, keep[2:]),
+		Servers:     some(full.Servers, keep[5:]),
+		Rules:       some(full.Rules, keep[11:]),
+	}
+	for i := range set.Servers {
+		set.Servers[i].Drain = rapid.Bool().Draw(t, "drain")
+	}
+	for i := range set.DataCentres {
+		set.DataCentres[i].Since = time.Unix(rapid.Int64Range(0, 2).Draw(t, "since"), 0)
+	}
+	return set.Normalised()
+}
+
+func some[T any](values []T, keep []bool) []T {
+	var kept []T
+	for i, value := range values {
+		if keep[i] {
+			kept = append(kept, value)
+		}
+	}
+	return kept
+}
+
+func TestEncodeIsDeterministic(t *testing.T) {
+	is := is.New(t)
+	set := sizedSet(3, 8, 40)
+	want, err := set.Encode()
+	is.NoErr(err)
+	shuffled := set
+	shuffled.Servers = slices.Clone(set.Servers)
+	slices.Reverse(shuffled.Servers)
+	got, err := shuffled.Normalised().Encode()
+	is.NoErr(err)
+	is.Equal(got, want)
+	decoded, err := config.Decode(want)
+	is.NoErr(err)
+	is.Equal(decoded, set)
+}
+
+func TestDecodeRefusesBombs(t *testing.T) {
+	is := is.New(t)
+	huge := config.Revised{Message: string(make([]byte, config.MaxEncodedBytes))}
+	data, err := huge.Encode()
+	is.NoErr(err)
+	is.True(len(data) < 1<<20)
+	_, err = config.DecodeRevised(data)
+	is.True(err != nil)
+}
+
+func FuzzDecode(f *testing.F) {
+	set := sizedSet(2, 2, 3)
+	encoded, _ := set.Encode()
+	revised, _ := config.Revised{Revision: 1, Set: set}.Encode()
+	f.Add(encoded)
+	f.Add(revised)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if set, err := config.Decode(data); err == nil {
+			_ = config.Check(set)
+			again, err := set.Encode()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if second, err := config.Decode(again); err != nil || second.Digest() != set.Digest() {
+				t.Fatal("a decoded set doesn't survive its own encoding", err)
+			}
+		}
+		_, _ = config.DecodeRevised(data)
+		_, _ = config.DecodeDelta(data)
+	})
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte("[[server]]\nname = \"a\"\nweight = 1\n[server.x]\ny = '''\n[[service]]\n'''\n"))
+	f.Add([]byte("service = [{name = \"a\", flow = {idle_timeout = 1}}]\n"))
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		set, err := config.Parse(config.File{Name: "fuzz.toml", Data: data})
+		if err == nil {
+			_ = config.Check(set)
+		}
+	})
+}
+
+func BenchmarkCheck(b *testing.B) {
+	set := targetSet()
+	for b.Loop() {
+		_ = config.Check(set)
+	}
+}
+
+func BenchmarkEncodeRevised(b *testing.B) {
+	r := config.Revised{Revision: 1, Set: targetSet()}
+	var data []byte
+	for b.Loop() {
+		data, _ = r.Encode()
+	}
+	plain, _ := r.Set.Encode()
+	b.ReportMetric(float64(len(data)), "compressed-bytes")
+	b.ReportMetric(float64(len(plain)), "plain-bytes")
+}
+
+func BenchmarkDecodeRevised(b *testing.B) {
+	data, _ := config.Revised{Revision: 1, Set: targetSet()}.Encode()
+	for b.Loop() {
+		_, _ = config.DecodeRevised(data)
+	}
+}
+
+func BenchmarkDelta(b *testing.B) {
+	old, updated := targetSet(), targetSet()
+	updated.Servers[17].Drain = true
+	var data []byte
+	for b.Loop() {
+		data, _ = config.Compare(old, updated).Encode()
+	}
+	b.ReportMetric(float64(len(data)), "delta-bytes")
+}
+
+func BenchmarkApply(b *testing.B) {
+	old, updated := targetSet(), targetSet()
+	updated.Servers[17].Drain = true
+	delta := config.Compare(old, updated)
+	for b.Loop() {
+		_, _ = delta.Apply(old)
+	}
+}
--- a/config/load.go
+++ b/config/load.go
@@ -77,14 +77,17 @@
 }
 
 // LoadChecked loads, checks and normalises a set. The error holds every problem
-// of syntax and of the set as a whole.
+// of the files and of the set as a whole. Without the objects of a file that has
+// an error of syntax, the set as a whole is not checked.
 func LoadChecked(paths ...string) (Set, error) {
 	set, err := Load(paths...)
 	problems, ok := errors.Into[Problems](err)
 	if err != nil && !ok {
 		return Set{}, err
 	}
-	problems = problems.Merge(Check(set))
+	if !slices.ContainsFunc(problems, Problem.IsOfFile) {
+		problems = problems.Merge(Check(set))
+	}
 	return set.Normalised(), problems.Err()
 }
 
--- a/declaration/document.go
+++ b/declaration/document.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"maps"
 	"reflect"
+	"regexp"
 	"slices"
 	"strings"
 	"time"
@@ -135,6 +136,10 @@
 	if err := d.meta.PrimitiveDecode(value, field.Addr().Interface()); err != nil {
 		return errorText(err)
 	}
+	if (field.CanInt() || field.CanUint() || field.CanFloat()) && field.IsZero() {
+		// A zero field stands for a key that is left out, so it can't be asked for.
+		return "is 0: leave the key out to get its default"
+	}
 	return ""
 }
 
@@ -168,10 +173,21 @@
 	return 1
 }
 
+var (
+	errorPosition = regexp.MustCompile(`^(toml: )?(line \d+ \(last key "[^"]*"\): )?`)
+	typeMismatch  = regexp.MustCompile(`^incompatible types: TOML value has type ([a-z]+); destination has type ([a-z]+)`)
+)
+
+// errorText returns what the library says, without the position.
 func errorText(err error) string {
 	var parse toml.ParseError
+	text := err.Error()
 	if errors.As(err, &parse) {
-		return parse.Message
+		text = parse.Message
+	}
+	text = strings.TrimPrefix(text, errorPosition.FindString(text))
+	if m := typeMismatch.FindStringSubmatch(text); m != nil {
+		return fmt.Sprintf("want type %s, not %s", m[2], m[1])
 	}
-	return strings.TrimPrefix(err.Error(), "toml: ")
+	return text
 }
--- a/declaration/problem.go
+++ b/declaration/problem.go
@@ -22,6 +22,10 @@
 	Reason string `json:"reason"`
 }
 
+// IsOfFile reports whether the file as a whole could not be read, so that
+// nothing is known of its objects.
+func (p Problem) IsOfFile() bool { return p.File != "" && p.Object == "" && p.Key == "" }
+
 // String returns the problem as one line.
 func (p Problem) String() string {
 	var parts []string
@@ -58,19 +62,21 @@
 }
 
 // Merge returns the problems of p and those of more, in the order of files and
-// lines. What later checks say about a line that could not be read is dropped.
+// lines. What later checks say about a key that could not be read is dropped.
 func (p Problems) Merge(more Problems) Problems {
 	type place struct {
 		file string
 		line int
 	}
-	seen := make(map[place]bool, len(p))
+	seen := make(map[place][]string, len(p))
 	for _, problem := range p {
-		seen[place{problem.File, problem.Line}] = true
+		at := place{problem.File, problem.Line}
+		seen[at] = append(seen[at], problem.Key)
 	}
 	merged := slices.Clone(p)
 	for _, problem := range more {
-		if !seen[place{problem.File, problem.Line}] {
+		known := seen[place{problem.File, problem.Line}]
+		if !slices.ContainsFunc(known, func(key string) bool { return sameKey(key, problem.Key) }) {
 			merged = append(merged, problem)
 		}
 	}
@@ -78,6 +84,12 @@
 	return merged
 }
 
+// sameKey reports whether two paths name one key, of which either may start at
+// an inner table.
+func sameKey(a, b string) bool {
+	return a == b || strings.HasSuffix(b, "."+a) || strings.HasSuffix(a, "."+b)
+}
+
 // Sort orders problems by file, line, object, key and reason.
 func (p Problems) Sort() {
 	slices.SortFunc(p, func(a, b Problem) int {
