--- /dev/null
+++ b/command/check.go
@@ -0,0 +1,80 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+
+	"github.com/go-faster/errors"
+	"github.com/google/subcommands"
+
+	"github.com/rattanthread/rattanthread/config"
+)
+
+// Check is the command that checks files offline.
+type Check struct {
+	Environment
+	JSON bool
+}
+
+// Name returns the name of the command.
+func (*Check) Name() string { return "check" }
+
+// Synopsis describes the command in one line.
+func (*Check) Synopsis() string { return "check configuration files, offline" }
+
+// Usage describes the command.
+func (*Check) Usage() string {
+	return `check [-json] FILE|DIR...:
+  Check all objects of the given files, and of the *.toml files below the given
+  directories, as one set. Prints every problem with its file, line, object and
+  reason. Needs no platform and changes nothing.
+
+  Example: rattanthread check examples/configuration
+`
+}
+
+// SetFlags defines the flags of the command.
+func (c *Check) SetFlags(f *flag.FlagSet) {
+	f.BoolVar(&c.JSON, "json", false, "print the problems as JSON, for programs")
+}
+
+// Execute runs the command.
+func (c *Check) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	set, err := loadArguments(f)
+	if c.JSON && (err == nil || isProblems(err)) {
+		return c.printJSON(err)
+	}
+	if err != nil {
+		return c.fail(err)
+	}
+	c.printf("%d data centres, %d services, %d servers, %d rules: no problems\n",
+		len(set.DataCentres), len(set.Services), len(set.Servers), len(set.Rules))
+	return subcommands.ExitSuccess
+}
+
+func (c *Check) printJSON(err error) subcommands.ExitStatus {
+	problems, bad := errors.Into[config.Problems](err)
+	if !bad {
+		problems = config.Problems{}
+	}
+	if err := json.NewEncoder(c.out()).Encode(problems); err != nil {
+		return c.fail(errors.Wrap(err, "print problems"))
+	}
+	if bad {
+		return subcommands.ExitUsageError
+	}
+	return subcommands.ExitSuccess
+}
+
+// loadArguments reads and checks the set in the files that the arguments name.
+func loadArguments(f *flag.FlagSet) (config.Set, error) {
+	if f.NArg() == 0 {
+		return config.Set{}, badInput("want files or directories with configuration")
+	}
+	set, err := config.LoadChecked(f.Args()...)
+	if err != nil && !isProblems(err) {
+		return config.Set{}, inputError{err.Error()}
+	}
+	return set, err
+}
--- /dev/null
+++ b/config/commanded.go
@@ -0,0 +1,30 @@
+package config
+
+// WithCommanded returns a copy of the set in which the states of data centres
+// and the drains of servers are those in force, unless a file declares them.
+// Otherwise publishing files would undo what operators commanded: bring back a
+// data centre that they took out, or end a drain.
+func (s Set) WithCommanded(inForce Set) Set {
+	merged := s.clone()
+	centres := byKey(inForce.DataCentres, DataCentre.key)
+	for i := range merged.DataCentres {
+		centre := &merged.DataCentres[i]
+		if before, ok := centres[centre.Name]; ok && !declares(centre, "state") {
+			centre.State = before.State
+		}
+	}
+	servers := byKey(inForce.Servers, Server.key)
+	for i := range merged.Servers {
+		server := &merged.Servers[i]
+		if before, ok := servers[server.Name]; ok && !declares(server, "drain") {
+			server.Drain = before.Drain
+		}
+	}
+	return merged
+}
+
+// declares reports whether a file sets the key of the object.
+func declares(object declared, key string) bool {
+	origin := object.declaredAt()
+	return origin != nil && origin.Has(key)
+}
--- a/declaration/origin.go
+++ b/declaration/origin.go
@@ -26,6 +26,12 @@
 	return o.Line
 }
 
+// Has reports whether the file sets the key of the object.
+func (o Origin) Has(key string) bool {
+	_, ok := o.keys[key]
+	return ok
+}
+
 // Problem returns a problem of the object's key.
 func (o Origin) Problem(object, key, reason string) Problem {
 	return Problem{File: o.File, Line: o.LineOf(key), Object: object, Key: key, Reason: reason}
