trial: run the real entry hosts and tell why one is not ready

Cause: an entry host that did not start was reported only as not ready.

Change: package host is the default entry host; the error of a part that failed, or the host's own reason, is told; try -log prints hosts' logs.

--- a/command/try.go
+++ b/command/try.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/google/subcommands"
+	"github.com/hashicorp/go-hclog"
 	"golang.org/x/term"
 
 	"github.com/rattanthread/rattanthread/trial"
@@ -30,6 +31,7 @@
 	hosts    int
 	json     bool
 	hold     bool
+	log      string
 }
 
 // Name returns the word that calls the command.
@@ -61,6 +63,7 @@
 	f.IntVar(&c.centres, "data-centres", trial.DefaultDataCentres, "how many data centres, 2 to 4")
 	f.IntVar(&c.hosts, "hosts", trial.DefaultHostsPerDataCentre, "entry hosts in each data centre")
 	f.BoolVar(&c.json, "json", false, "print the report as JSON")
+	f.StringVar(&c.log, "log", "", "print the entry hosts' logs from this level: debug, info, warn or error")
 	f.BoolVar(&c.hold, "hold", false, "keep everything running after the report, until interrupted, for curl and nc")
 }
 
@@ -99,6 +102,9 @@
 		DataCentres:        c.centres,
 		HostsPerDataCentre: c.hosts,
 	}
+	if c.log != "" {
+		t.Logger = hclog.New(&hclog.LoggerOptions{Output: errs, Level: hclog.LevelFromString(c.log)})
+	}
 	if file, ok := errs.(*os.File); ok && term.IsTerminal(int(file.Fd())) {
 		t.Progress = errs
 	}
--- a/trial/host.go
+++ b/trial/host.go
@@ -1,10 +1,9 @@
 package trial
 
 import (
-	"context"
-
-	"github.com/go-faster/errors"
+	"github.com/hashicorp/go-hclog"
 
+	"github.com/rattanthread/rattanthread/host"
 	"github.com/rattanthread/rattanthread/settings"
 )
 
@@ -12,9 +11,14 @@
 	if t.NewHost != nil {
 		return t.NewHost(s)
 	}
-	return EntryHost{
-		Run:   func(context.Context) error { return errors.New("no entry host") },
-		Kill:  func() {},
-		Ready: func() bool { return false },
+	h := &host.Host{Settings: s, Logger: t.logger(s)}
+	return EntryHost{Run: h.Run, Kill: h.Kill, Ready: h.Ready}
+}
+
+// logger names the host in what it logs.
+func (t *Trial) logger(s settings.Settings) hclog.Logger {
+	if t.Logger == nil {
+		return nil
 	}
+	return t.Logger.With("host", s.Host)
 }
--- a/trial/layout.go
+++ b/trial/layout.go
@@ -170,7 +170,7 @@
 }
 
 func newListen(p *ports) (settings.Listen, error) {
-	var listen settings.Listen
+	listen := settings.Listen{AnswerPort: answerPort}
 	for _, choice := range []struct {
 		address *netip.AddrPort
 		choose  func() (netip.AddrPort, error)
--- a/trial/process.go
+++ b/trial/process.go
@@ -147,7 +147,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-limit.C:
-			return errors.Errorf("host %s is not ready after %s", missing.settings.Host, readyLimit)
+			return errors.Errorf("host %s is not ready after %s: %s", missing.settings.Host, readyLimit, w.watch.reason(missing.settings.Host))
 		case <-ticker.C:
 		}
 	}
--- a/trial/trial.go
+++ b/trial/trial.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/hashicorp/go-hclog"
 
 	"github.com/rattanthread/rattanthread/fleet"
 	"github.com/rattanthread/rattanthread/settings"
@@ -24,6 +25,8 @@
 	HostsPerDataCentre int
 	// Progress gets a line that is written over and over; nil means none.
 	Progress io.Writer
+	// Logger gets the entry hosts' logs; nil means none.
+	Logger hclog.Logger
 	// NewHost makes an entry host; nil means package host.
 	NewHost func(settings.Settings) EntryHost
 	// Hold is called after the callers have stopped, while the rest still runs;
@@ -69,7 +72,7 @@
 	if err := w.start(ctx); err != nil {
 		cancel()
 		w.wait()
-		return Report{}, errors.Wrap(err, "start the trial")
+		return Report{}, errors.Wrap(w.firstError(err), "start the trial")
 	}
 	w.runTimeline(ctx)
 	w.stopCallers()
--- a/trial/watch.go
+++ b/trial/watch.go
@@ -108,6 +108,17 @@
 	return append([]string(nil), w.reverted...)
 }
 
+// reason is why a host says that it is not ready.
+func (w *Watch) reason(host fleet.HostID) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	seen, ok := w.seen[host]
+	if !ok {
+		return "no status"
+	}
+	return seen.Reason
+}
+
 func (w *Watch) counter(host fleet.HostID, name string) (uint64, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -157,6 +168,8 @@
 		return host, errors.Wrap(err, "ask "+admin)
 	}
 	defer response.Body.Close()
-	err = json.NewDecoder(io.LimitReader(response.Body, maxStatusBytes)).Decode(&host)
-	return host, errors.Wrap(err, "decode status of "+admin)
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxStatusBytes)).Decode(&host); err != nil {
+		return host, errors.Wrap(err, "decode status of "+admin)
+	}
+	return host, nil
 }
--- a/trial/world.go
+++ b/trial/world.go
@@ -227,6 +227,16 @@
 	w.errs = append(w.errs, err)
 }
 
+// firstError returns the first error of any part, else fallback.
+func (w *world) firstError(fallback error) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.errs) > 0 {
+		return w.errs[0]
+	}
+	return fallback
+}
+
 func (w *world) wait() {
 	w.group.Wait()
 	_ = w.fabric.Close()
