--- a/membership/timing.go
+++ b/membership/timing.go
@@ -14,6 +14,23 @@
 	Forget    time.Duration // how long a dead member is remembered; default 1h
 }
 
+// Bounds that do not depend on Timing.
+const (
+	helpers           = 3           // members asked for one indirect probe
+	gossipFanout      = 3           // members told in one round of news
+	leaveFanout       = 8           // members told of a planned stop
+	newsFactor        = 2           // news is sent newsFactor * log2(hosts) times
+	newsBytes         = 700         // estimated size of the news of one message
+	snapshotClaims    = 200         // claims in one Snapshot
+	maxRelays         = 256         // indirect probes under way on behalf of others
+	firstAttempts     = 3           // pings to a new candidate before it is probed like a dead member
+	isolatedPings     = 3           // lost members pinged in one interval by a host without peers
+	confirmations     = 2           // peers that must confirm a stale host
+	recentStates      = 16          // earlier local states that Settled remembers
+	candidateLifetime = time.Minute // of a candidate after its last hint
+	joinSync          = time.Second // between fetches until a table has agreed with a peer's
+)
+
 func (t Timing) withDefaults() Timing {
 	setDefault(&t.Probe, 500*time.Millisecond)
 	setDefault(&t.Retry, 120*time.Millisecond)
