--- a/flow/fetch.go
+++ b/flow/fetch.go
@@ -17,6 +17,9 @@
 	flowsPerMessage = 4096
 	// handedLife is for how long a handed flow is worth telling.
 	handedLife = 10 * time.Second
+	// settleMargin is how much later than another host a host may learn that a
+	// view is settled.
+	settleMargin = time.Second
 )
 
 // fetch is a new owner's question to all its peers.
@@ -24,7 +27,16 @@
 	message     *Fetch
 	since, sent time.Time
 	waiting     map[fleet.HostID]map[int]bool // the parts that came, by peer
-	handed      []ServiceRecords
+	// handed are new flows that were handed to the former owners; held are the
+	// slots whose former owners have answered.
+	handed []ServiceRecords
+	held   map[slotKey]bool
+}
+
+// slotKey names a slot of a service.
+type slotKey struct {
+	service fleet.ServiceName
+	slot    uint16
 }
 
 // startFetches asks all peers for the flows of the slots that this host owns and
@@ -43,7 +55,7 @@
 		return nil
 	}
 	r.fetchID++
-	f := &fetch{since: now, waiting: make(map[fleet.HostID]map[int]bool)}
+	f := &fetch{since: now, waiting: make(map[fleet.HostID]map[int]bool), held: make(map[slotKey]bool)}
 	f.message = &Fetch{ID: r.fetchID, Services: services}
 	r.fetches[r.fetchID] = f
 	for _, peer := range r.peers() {
@@ -106,12 +118,9 @@
 // complete gives this host authority over the slots of a fetch.
 func (r *Router) complete(now time.Time, f *fetch) {
 	delete(r.fetches, f.message.ID)
-	a := authorityAgreed
-	if r.view.Settled {
-		a = authorityFull
-		for i := range f.handed {
-			r.placeHanded(now, &f.handed[i])
-		}
+	r.tellHanded(now, f)
+	for i := range f.handed {
+		r.placeHanded(now, f, &f.handed[i])
 	}
 	for _, m := range f.message.Services {
 		s := r.byName[m.Service]
@@ -124,22 +133,41 @@
 			state.live.mu.Lock()
 			state.live.lastOther = now
 			state.live.mu.Unlock()
-			state.live.grant(a)
+			if state.announced || r.view.Settled {
+				state.live.grant(authorityFull)
+			} else {
+				state.live.grant(authorityAgreed)
+			}
 		}
 	}
 	r.dirty = true
 }
 
-// placeHanded records new flows which the former owner placed and did not copy:
-// it placed them where this host would.
-func (r *Router) placeHanded(now time.Time, m *ServiceRecords) {
+// tellHanded adds the flows that this host itself handed to the former owners.
+func (r *Router) tellHanded(now time.Time, f *fetch) {
+	b := newRecordsBuilder()
+	for i := range f.message.Services {
+		m := &f.message.Services[i]
+		if s := r.byName[m.Service]; s.present {
+			r.addHanded(now, b, s, m.Slots)
+		}
+	}
+	for _, m := range b.messages() {
+		f.handed = append(f.handed, m.Services...)
+		f.addHeld(m.Services)
+	}
+}
+
+// placeHanded records new flows which the former owner placed, and died before it
+// copied them: it placed them where this host would.
+func (r *Router) placeHanded(now time.Time, f *fetch, m *ServiceRecords) {
 	s := r.byName[m.Service]
 	if s == nil || !s.present {
 		return
 	}
 	for _, hash := range m.Handed {
 		state := s.splits[slotOf(hash)]
-		if state == nil {
+		if state == nil || state.settled.IsZero() || f.held[slotKey{s.name, state.slot}] {
 			continue
 		}
 		server := s.firstFree(state)
@@ -186,7 +214,7 @@
 	}
 	b := newRecordsBuilder()
 	for i := range m.Services {
-		r.releaseSlots(now, b, &m.Services[i])
+		r.releaseSlots(now, b, m.ID, &m.Services[i])
 	}
 	var sends []fleet.Send
 	messages := b.messages()
@@ -197,29 +225,40 @@
 	return sends
 }
 
-func (r *Router) releaseSlots(now time.Time, b *recordsBuilder, m *ServiceSlots) {
+func (r *Router) releaseSlots(now time.Time, b *recordsBuilder, id uint64, m *ServiceSlots) {
 	s := r.byName[m.Service]
 	if s == nil || !s.present {
 		return
 	}
-	asked := make(map[uint16]bool, len(m.Slots))
-	var retired []uint16
+	var retired, held []uint16
 	for _, slot := range m.Slots {
 		if slot >= SlotCount {
 			continue
 		}
-		asked[slot] = true
 		if s.epochs[slot] > 0 {
 			retired = append(retired, slot)
 		}
 		if state := s.splits[slot]; state != nil && r.ready {
-			state.live.release()
+			if state.live.release() != authorityNone {
+				state.released = id
+			}
+			if state.released == id {
+				held = append(held, slot)
+			}
 			b.addSlot(s, state.live, seconds(now))
 		}
 	}
-	if len(retired) > 0 {
-		records := b.service(s)
-		records.Agreed = append(records.Agreed, s.agreedSlots(retired)...)
+	records := b.service(s)
+	records.Agreed = append(records.Agreed, s.agreedSlots(retired)...)
+	records.Held = append(records.Held, held...)
+	r.addHanded(now, b, s, m.Slots)
+}
+
+// addHanded adds the new flows of some slots that this host handed on lately.
+func (r *Router) addHanded(now time.Time, b *recordsBuilder, s *service, slots []uint16) {
+	asked := make(map[uint16]bool, len(slots))
+	for _, slot := range slots {
+		asked[slot] = true
 	}
 	r.handed.each(func(h handedFlow) {
 		if h.service == s.index && asked[slotOf(h.hash)] && r.worthTelling(now, s, h) {
@@ -229,11 +268,12 @@
 	})
 }
 
-// worthTelling reports whether a handed flow is recent, and was handed on after
-// the split was settled: before, it went to the agreed server.
+// worthTelling reports whether a handed flow is recent, and was handed on well
+// after the split was settled: before, it went to the agreed server, and owners
+// learn a little earlier or later than this host that a view is settled.
 func (r *Router) worthTelling(now time.Time, s *service, h handedFlow) bool {
 	state := s.splits[slotOf(h.hash)]
-	if state == nil || state.settled.IsZero() || h.at.Before(state.settled) {
+	if state == nil || state.settled.IsZero() || h.at.Sub(state.settled) < settleMargin {
 		return false
 	}
 	return now.Sub(h.at) <= handedLife
@@ -257,6 +297,7 @@
 			r.merge(now, &m.Services[i], 0)
 		}
 		f.handed = append(f.handed, m.Services...)
+		f.addHeld(m.Services)
 	}
 	if len(f.waiting[from]) >= m.Parts {
 		delete(f.waiting, from)
@@ -266,6 +307,14 @@
 	}
 }
 
+func (f *fetch) addHeld(services []ServiceRecords) {
+	for i := range services {
+		for _, slot := range services[i].Held {
+			f.held[slotKey{services[i].Service, slot}] = true
+		}
+	}
+}
+
 // merge adds records of another host to those of this one.
 func (r *Router) merge(now time.Time, m *ServiceRecords, flags recordFlags) {
 	s := r.byName[m.Service]
--- a/flow/message.go
+++ b/flow/message.go
@@ -81,6 +81,9 @@
 	Agreed      []AgreedSlots     `cbor:"agreed,omitempty"`
 	Established []ServerFlows     `cbor:"established,omitempty"`
 	HalfOpen    []ServerFlows     `cbor:"half_open,omitempty"`
+	// Held are the slots about which the sender decided until now: for these it
+	// knows all flows.
+	Held []uint16 `cbor:"held,omitempty"`
 	// Handed are new flows that the sender handed to the former owner lately.
 	Handed []uint64 `cbor:"handed,omitempty"`
 }
--- a/flow/service.go
+++ b/flow/service.go
@@ -326,6 +326,7 @@
 func (r *Router) settle(now time.Time) {
 	for _, s := range r.services {
 		for _, state := range s.splits {
+			state.announced = true
 			if state.settled.IsZero() {
 				state.settled = now
 			}
--- a/flow/split.go
+++ b/flow/split.go
@@ -62,11 +62,14 @@
 	return f.authority
 }
 
-// release gives up authority. Decisions made before it are in the records.
-func (f *slotFlows) release() {
+// release gives up authority, and returns which it was. Decisions made before are
+// in the records.
+func (f *slotFlows) release() authority {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	a := f.authority
 	f.authority = authorityNone
+	return a
 }
 
 // slotState is what the control goroutine keeps about a split slot.
@@ -74,12 +77,15 @@
 	slot      uint16
 	owner     fleet.HostID
 	successor fleet.HostID
+	// released is the ID of the fetch that took authority from this host.
+	released uint64
 	// fetch is the ID of the fetch under way for this slot, or zero.
 	fetch      uint64
 	target     uint16
 	preference [preferences]uint16
 	since      time.Time // when it was split
-	settled    time.Time // when all hosts knew that; zero: not yet
+	announced  bool      // all hosts know that it is split
+	settled    time.Time // when all hosts knew its target; zero: not yet
 	refreshed  time.Time // when all its records were last copied
 	live       *slotFlows
 }
