trial: run the example configuration and tell why attempts were refused

Cause: a user should see the declared example at work; a refusal without its reason explains nothing; servers ignored the deadline header.

Change: package examples embeds the example files; the trial takes services, data centres and rules from it. Servers keep Request-Timeout. Callers check Request-Earlier against the ledger. An interrupted trial says so.

--- a/command/try.go
+++ b/command/try.go
@@ -1,4 +1,3 @@
-// Package command holds the commands of the rattanthread program.
 package command
 
 import (
@@ -9,6 +8,8 @@
 	"io"
 	"net"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/google/subcommands"
@@ -27,7 +28,6 @@
 
 	seed     uint64
 	duration time.Duration
-	centres  int
 	hosts    int
 	json     bool
 	hold     bool
@@ -60,7 +60,6 @@
 func (c *Try) SetFlags(f *flag.FlagSet) {
 	f.Uint64Var(&c.seed, "seed", 1, "fixes what is random in callers, fabric and choice of targets")
 	f.DurationVar(&c.duration, "duration", trial.DefaultDuration, "how long callers run, at least "+trial.MinDuration.String())
-	f.IntVar(&c.centres, "data-centres", trial.DefaultDataCentres, "how many data centres, 2 to 4")
 	f.IntVar(&c.hosts, "hosts", trial.DefaultHostsPerDataCentre, "entry hosts in each data centre")
 	f.BoolVar(&c.json, "json", false, "print the report as JSON")
 	f.StringVar(&c.log, "log", "", "print the entry hosts' logs from this level: debug, info, warn or error")
@@ -74,6 +73,8 @@
 		_, _ = fmt.Fprintf(errs, "try takes no arguments, got %q\n", f.Args())
 		return subcommands.ExitUsageError
 	}
+	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer stop()
 	report, err := c.run(ctx, c.trial(out, errs))
 	if err != nil {
 		_, _ = fmt.Fprintln(errs, "try:", err)
@@ -99,7 +100,6 @@
 	t := &trial.Trial{
 		Seed:               c.seed,
 		Duration:           c.duration,
-		DataCentres:        c.centres,
 		HostsPerDataCentre: c.hosts,
 	}
 	if c.log != "" {
--- a/standin/request_test.go
+++ b/standin/request_test.go
@@ -76,6 +76,24 @@
 			standin.OutcomeRefused,
 			func(r standin.RequestReport) uint64 { return r.RefusedButRun },
 		},
+		{
+			"refusal that denies an earlier run",
+			func(server http.Handler) http.HandlerFunc {
+				ran := false
+				return func(w http.ResponseWriter, r *http.Request) {
+					if !ran {
+						ran = true
+						server.ServeHTTP(httptest.NewRecorder(), r)
+						w.WriteHeader(http.StatusBadGateway)
+						return
+					}
+					w.Header().Set(standin.HeaderEarlier, "none")
+					refuse(w)
+				}
+			},
+			standin.OutcomeUnknown,
+			func(r standin.RequestReport) uint64 { return r.RefusedButRun },
+		},
 		{
 			"run twice",
 			func(server http.Handler) http.HandlerFunc {
@@ -198,6 +216,21 @@
 	is.Equal(counts.Misdelivered, uint64(1))
 }
 
+func TestRequestServerKeepsDeadlines(t *testing.T) {
+	is := is.New(t)
+	server := &standin.RequestServer{Name: "orders-1", Work: func(ctx context.Context, _ time.Duration) error {
+		<-ctx.Done()
+		return ctx.Err()
+	}}
+	r := httptest.NewRequest(http.MethodGet, "/?id=1", nil)
+	r.Header.Set(standin.HeaderTimeout, "0.001")
+	w := httptest.NewRecorder()
+	server.ServeHTTP(w, r)
+	is.Equal(w.Code, http.StatusGatewayTimeout)
+	is.Equal(w.Header().Get(standin.HeaderOutcome), "") // it began to run
+	is.Equal(server.Counts().Cancelled, uint64(1))
+}
+
 func TestHealthLagsAndMisleads(t *testing.T) {
 	is := is.New(t)
 	h := &standin.Health{Lag: time.Second}
--- a/standin/requestcaller.go
+++ b/standin/requestcaller.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -274,6 +275,7 @@
 	if request.method == http.MethodPost {
 		r.Header.Set(HeaderKey, request.id)
 	}
+	r.Header.Set(HeaderTimeout, strconv.FormatFloat(c.Timeout.Seconds(), 'f', 3, 64))
 	return r
 }
 
@@ -283,10 +285,11 @@
 	if response.StatusCode != http.StatusOK {
 		reason := response.Header.Get(HeaderReason)
 		c.count(func(r *RequestReport) { r.Reasons[string(outcome)+"/"+reason]++ })
-		if outcome == OutcomeRefused {
-			return OutcomeRefused
+		if outcome != OutcomeRefused {
+			return OutcomeUnknown
 		}
-		return OutcomeUnknown
+		c.checkEarlier(request, response)
+		return OutcomeRefused
 	}
 	first, rest, _ := strings.Cut(body, "\n")
 	server, id, _ := strings.Cut(first, " ")
@@ -298,6 +301,16 @@
 	return OutcomeAnswered
 }
 
+// checkEarlier compares what a refusal says of earlier attempts with the ledger.
+func (c *RequestCaller) checkEarlier(request request, response *http.Response) {
+	if c.Ledger == nil || response.Header.Get(HeaderEarlier) != "none" {
+		return
+	}
+	if len(c.Ledger.Runs(request.id)) > 0 {
+		c.count(func(r *RequestReport) { r.RefusedButRun++ })
+	}
+}
+
 func (c *RequestCaller) cut(host netip.AddrPort, err error) Outcome {
 	if errors.Is(err, context.DeadlineExceeded) {
 		c.count(func(r *RequestReport) { r.TimedOut++ })
--- a/standin/requestserver.go
+++ b/standin/requestserver.go
@@ -18,6 +18,8 @@
 	HeaderKey     = "Idempotency-Key"
 	HeaderOutcome = "Request-Outcome"
 	HeaderReason  = "Request-Reason"
+	HeaderTimeout = "Request-Timeout" // seconds until the deadline, with decimals
+	HeaderEarlier = "Request-Earlier" // "none" if no earlier attempt with the key ran
 	HeaderServer  = "Server-Name"
 )
 
@@ -89,7 +91,11 @@
 		refuse(w, reason)
 		return
 	}
-	if !s.acquire(r.Context()) {
+	ctx, cancel := withDeadline(r)
+	defer cancel()
+	r = r.WithContext(ctx)
+	if !s.acquire(ctx) {
+		refuse(w, "deadline")
 		return
 	}
 	defer s.release()
@@ -97,8 +103,9 @@
 	if !ok {
 		panic(http.ErrAbortHandler) // the server fell over: the connection is cut
 	}
-	if err := s.work(r.Context(), duration); err != nil {
+	if err := s.work(ctx, duration); err != nil {
 		s.count(func(c *RequestServerCounts) { c.Cancelled++ })
+		http.Error(w, "cancelled while it ran", http.StatusGatewayTimeout)
 		return
 	}
 	s.finish()
@@ -284,6 +291,16 @@
 	return s.Now()
 }
 
+// withDeadline returns the request's context, which ends with the deadline that
+// its header sets.
+func withDeadline(r *http.Request) (context.Context, context.CancelFunc) {
+	seconds, err := strconv.ParseFloat(r.Header.Get(HeaderTimeout), 64)
+	if err != nil {
+		return context.WithCancel(r.Context())
+	}
+	return context.WithTimeout(r.Context(), time.Duration(seconds*float64(time.Second)))
+}
+
 // refuse tells that the request was not run.
 func refuse(w http.ResponseWriter, reason string) {
 	w.Header().Set(HeaderOutcome, string(OutcomeRefused))
--- a/trial/callers.go
+++ b/trial/callers.go
@@ -15,9 +15,9 @@
 
 // What the callers do.
 const (
-	huntLongFlows   = 40 // of each caller
-	huntShortFlows  = 20
-	hintsLongFlows  = 10
+	hintsLongFlows  = 40 // of each caller
+	hintsShortFlows = 20
+	tallyLongFlows  = 10
 	shortLife       = 2 * time.Second
 	openRate        = 20.0 // flows a second of each caller
 	messageInterval = 250 * time.Millisecond
@@ -28,7 +28,7 @@
 	attemptLimit = 5 * time.Second
 	retryPause   = 100 * time.Millisecond
 	mapSize      = 64 << 10 // bytes of an answer
-	orderSize    = 500
+	scoreSize    = 500
 )
 
 func (w *world) startCallers(ctx context.Context) error {
@@ -38,14 +38,14 @@
 	}
 	w.callerSockets = sockets
 	ctx, w.stopCalling = context.WithCancel(ctx)
-	hintCallers := 2
+	tallyCallers := 2
 	for i, socket := range sockets[:callerCount-1] {
-		caller := w.newFlowCaller(i, i < hintCallers)
+		caller := w.newFlowCaller(i, i < tallyCallers)
 		caller.Address = addressOf(socket)
 		w.flowCallers = append(w.flowCallers, caller)
 		w.callers.Go(func() { w.fail(caller.Run(ctx, socket)) })
 	}
-	for i, service := range []fleet.ServiceName{serviceMaps, serviceOrders} {
+	for i, service := range []fleet.ServiceName{serviceMaps, serviceScores} {
 		caller := w.newRequestCaller(i, service)
 		w.requestCallers = append(w.requestCallers, caller)
 		w.callers.Go(func() { w.fail(caller.Run(ctx)) })
@@ -53,14 +53,14 @@
 	return nil
 }
 
-func (w *world) newFlowCaller(number int, hints bool) *standin.FlowCaller {
+func (w *world) newFlowCaller(number int, tally bool) *standin.FlowCaller {
 	caller := &standin.FlowCaller{
-		Service:     serviceHunt,
-		Destination: huntAddress,
+		Service:     serviceHints,
+		Destination: w.service(serviceHints).Address,
 		Protocol:    fleet.ProtocolTCP,
 		Send:        w.fabric.Send,
-		LongFlows:   huntLongFlows,
-		ShortFlows:  huntShortFlows,
+		LongFlows:   hintsLongFlows,
+		ShortFlows:  hintsShortFlows,
 		ShortLife:   shortLife,
 		OpenRate:    openRate,
 		Interval:    messageInterval,
@@ -68,11 +68,11 @@
 		MaxTries:    maxTries,
 		Seed:        w.trial.Seed + uint64(number),
 	}
-	if hints {
-		caller.Service = serviceHints
-		caller.Destination = hintsAddress
+	if tally {
+		caller.Service = serviceTally
+		caller.Destination = w.service(serviceTally).Address
 		caller.Protocol = fleet.ProtocolUDP
-		caller.LongFlows = hintsLongFlows
+		caller.LongFlows = tallyLongFlows
 		caller.ShortFlows = 0
 	}
 	return caller
@@ -81,7 +81,7 @@
 func (w *world) newRequestCaller(number int, service fleet.ServiceName) *standin.RequestCaller {
 	caller := &standin.RequestCaller{
 		Service:    service,
-		Host:       hostOf(service),
+		Host:       w.service(service).Host,
 		Address:    w.fabric.RequestAddress,
 		Rate:       requestRate,
 		Timeout:    attemptLimit,
@@ -90,9 +90,9 @@
 		Ledger:     &w.samples.ledger,
 		Seed:       w.trial.Seed + uint64(number),
 	}
-	if service == serviceOrders {
+	if service == serviceScores {
 		caller.PostRatio = 1
-		caller.AnswerSize = orderSize
+		caller.AnswerSize = scoreSize
 	}
 	return caller
 }
@@ -105,12 +105,12 @@
 	w.callers.Wait()
 }
 
-// startGateway serves ordinary UDP clients of the flow service hints.
+// startGateway serves ordinary UDP clients of the flow service tally.
 func (w *world) startGateway(ctx context.Context) error {
 	answers := w.callerSockets[callerCount-1]
 	w.gateway = &standin.Gateway{
 		Address:     addressOf(answers),
-		Destination: hintsAddress,
+		Destination: w.service(serviceTally).Address,
 		Send:        w.fabric.Send,
 	}
 	socket, err := listenUDP(w.gatewayAddress)
--- a/trial/layout.go
+++ b/trial/layout.go
@@ -2,25 +2,24 @@
 
 import (
 	"fmt"
+	"io/fs"
 	"net/netip"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/rattanthread/rattanthread/config"
+	"github.com/rattanthread/rattanthread/examples"
 	"github.com/rattanthread/rattanthread/fleet"
 	"github.com/rattanthread/rattanthread/settings"
 )
 
-// The services of a trial.
+// The services of the example configuration.
 const (
-	serviceHunt   fleet.ServiceName = "hunt"   // long TCP flows
-	serviceHints  fleet.ServiceName = "hints"  // long UDP flows
+	serviceHints  fleet.ServiceName = "hints"  // long TCP flows
+	serviceTally  fleet.ServiceName = "tally"  // long UDP flows
 	serviceMaps   fleet.ServiceName = "maps"   // idempotent requests
-	serviceOrders fleet.ServiceName = "orders" // requests that run at most once
-)
-
-var (
-	huntAddress  = netip.MustParseAddrPort("10.20.0.1:7000")
-	hintsAddress = netip.MustParseAddrPort("10.20.0.2:7001")
+	serviceScores fleet.ServiceName = "scores" // requests that run at most once
 )
 
 // serversOf is how many backend servers each service has in a data centre.
@@ -28,62 +27,36 @@
 	service fleet.ServiceName
 	servers int
 }{
-	{serviceHunt, 7},
-	{serviceHints, 2},
+	{serviceHints, 7},
+	{serviceTally, 2},
 	{serviceMaps, 2},
-	{serviceOrders, 4},
+	{serviceScores, 4},
 }
 
 const (
-	region         fleet.RegionID = "tamsui"
-	coldRate                      = 20.0 // new flows or requests a second
-	warmupTime                    = 3 * time.Second
-	maxConnections                = 2000
-	serverSlots                   = 2
-	requestTimeout                = 5 * time.Second
-	silentTimeout                 = 20 * time.Second
-	idleTimeout                   = 60 * time.Second
+	coldRate       = 20.0 // new flows or requests a second
+	warmupTime     = 3 * time.Second
+	maxConnections = 2000
+	serverSlots    = 2
 )
 
-var dataCentreNames = []fleet.DataCentreID{"bali", "sanzhi", "shimen", "jinshan"}
-
-func services() []config.Service {
-	limits := config.FlowLimits{IdleTimeout: idleTimeout, SilentTimeout: silentTimeout}
-	return []config.Service{
-		{Name: serviceHunt, Kind: config.KindFlow, Address: huntAddress, Protocol: "tcp", Flow: limits},
-		{Name: serviceHints, Kind: config.KindFlow, Address: hintsAddress, Protocol: "udp", Flow: limits},
-		{
-			Name:    serviceMaps,
-			Kind:    config.KindRequest,
-			Host:    hostOf(serviceMaps),
-			Request: config.RequestLimits{Timeout: requestTimeout},
-		},
-		{
-			Name:    serviceOrders,
-			Kind:    config.KindRequest,
-			Host:    hostOf(serviceOrders),
-			Request: config.RequestLimits{Timeout: requestTimeout},
-		},
+// newSet makes the configuration of a trial: the example's services, data
+// centres and rules, with more servers, which warm up sooner and listen on
+// ports of p.
+func newSet(p *ports) (config.Set, error) {
+	files, err := fs.Sub(examples.Files, "configuration")
+	if err != nil {
+		return config.Set{}, errors.Wrap(err, "open the example configuration")
 	}
-}
-
-// hostOf returns the HTTP host name of a request service.
-func hostOf(service fleet.ServiceName) string {
-	return string(service) + ".example"
-}
-
-// newSet makes the configuration of a trial, with ports of p.
-func newSet(centres []fleet.DataCentreID, p *ports) (config.Set, error) {
-	set := config.Set{Services: services()}
-	for _, centre := range centres {
-		set.DataCentres = append(set.DataCentres, config.DataCentre{
-			Name:   centre,
-			Region: region,
-			State:  config.StateIn,
-		})
+	set, err := config.LoadFS(files)
+	if err != nil {
+		return config.Set{}, errors.Wrap(err, "load the example configuration")
+	}
+	set.Servers = nil
+	for _, centre := range set.DataCentres {
 		for _, s := range serversOf {
 			for i := range s.servers {
-				server, err := newServer(centre, s.service, i+1, p)
+				server, err := newServer(centre.Name, s.service, i+1, p)
 				if err != nil {
 					return config.Set{}, err
 				}
@@ -100,7 +73,7 @@
 
 func newServer(centre fleet.DataCentreID, service fleet.ServiceName, number int, p *ports) (config.Server, error) {
 	choose := p.tcp
-	if service == serviceHunt || service == serviceHints {
+	if service == serviceHints || service == serviceTally {
 		choose = p.udp
 	}
 	address, err := choose()
--- a/trial/table.go
+++ b/trial/table.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"text/tabwriter"
 )
 
@@ -13,6 +15,7 @@
 	r.writePhases(t)
 	r.writeFlows(t)
 	r.writeRequests(t)
+	r.writeReasons(t)
 	r.writeServers(t)
 	r.writeSeconds(t)
 	r.writeVerdict(t)
@@ -70,6 +73,15 @@
 	}
 }
 
+func (r Report) writeReasons(t *table) {
+	t.line("\nattempts not answered\toutcome/reason\tcount")
+	for _, q := range r.Requests {
+		for _, reason := range slices.Sorted(maps.Keys(q.Reasons)) {
+			t.line("%s\t%s\t%d", q.Service, reason, q.Reasons[reason])
+		}
+	}
+}
+
 func (r Report) writeServers(t *table) {
 	t.line("\nimbalance\tservers\tmean\tunit\tmax/mean\tstddev/mean")
 	for _, i := range r.Imbalance {
--- a/trial/timeline.go
+++ b/trial/timeline.go
@@ -58,6 +58,7 @@
 	for _, s := range w.steps() {
 		due := start.Add(time.Duration(s.at * float64(w.trial.duration())))
 		if !sleepUntil(ctx, due) {
+			w.fail(errors.New("interrupted"))
 			return
 		}
 		w.take(ctx, s)
@@ -112,7 +113,7 @@
 	set := w.set.Normalised()
 	drained := make(map[fleet.ServiceName]fleet.ServerID)
 	for i, s := range set.Servers {
-		if s.DataCentre == w.centres[0] && drained[s.Service] == "" && (s.Service == serviceHunt || s.Service == serviceOrders) {
+		if s.DataCentre == w.centres[0] && drained[s.Service] == "" && (s.Service == serviceHints || s.Service == serviceScores) {
 			set.Servers[i].Drain = true
 			drained[s.Service] = s.Name
 		}
@@ -123,9 +124,9 @@
 	}
 	w.mu.Unlock()
 	deadline := time.Now().Add(leavingLimit)
-	w.flowServers[drained[serviceHunt]].NoNewWorkAfter(deadline)
-	w.requestServers[drained[serviceOrders]].NoNewWorkAfter(deadline)
-	target := string(drained[serviceHunt]) + " " + string(drained[serviceOrders])
+	w.flowServers[drained[serviceHints]].NoNewWorkAfter(deadline)
+	w.requestServers[drained[serviceScores]].NoNewWorkAfter(deadline)
+	target := string(drained[serviceHints]) + " " + string(drained[serviceScores])
 	return target, w.publish(ctx, "drain "+target, set)
 }
 
--- a/trial/trial.go
+++ b/trial/trial.go
@@ -19,8 +19,6 @@
 	Seed uint64
 	// Duration is how long the callers run; zero means DefaultDuration.
 	Duration time.Duration
-	// DataCentres is how many there are, 2 to 4; zero means 2.
-	DataCentres int
 	// HostsPerDataCentre is how many entry hosts each has; zero means 3.
 	HostsPerDataCentre int
 	// Progress gets a line that is written over and over; nil means none.
@@ -37,7 +35,6 @@
 // The defaults of a Trial.
 const (
 	DefaultDuration           = 30 * time.Second
-	DefaultDataCentres        = 2
 	DefaultHostsPerDataCentre = 3
 	// MinDuration leaves each change the time to show.
 	MinDuration = 30 * time.Second
@@ -46,7 +43,7 @@
 // Addresses tells an ordinary user where a running trial can be reached.
 type Addresses struct {
 	Platform string // URL
-	// Gateway takes plain UDP datagrams for the flow service hints.
+	// Gateway takes plain UDP datagrams for the flow service tally.
 	Gateway string
 	Hosts   []HostAddresses
 	// RequestHosts are the HTTP host names of the request services.
--- a/trial/world.go
+++ b/trial/world.go
@@ -75,18 +75,16 @@
 		samples:        samples{excluded: make(map[fleet.ServerID]bool)},
 	}
 	defer w.ports.release()
-	centres := orDefault(t.DataCentres, DefaultDataCentres)
-	if centres < 2 || centres > len(dataCentreNames) {
-		return nil, errors.Errorf("%d data centres: need 2 to %d", centres, len(dataCentreNames))
-	}
 	if t.duration() < MinDuration {
 		return nil, errors.Errorf("a duration of %s is too short: need %s", t.duration(), MinDuration)
 	}
-	w.centres = dataCentreNames[:centres]
 	var err error
-	if w.set, err = newSet(w.centres, &w.ports); err != nil {
+	if w.set, err = newSet(&w.ports); err != nil {
 		return nil, err
 	}
+	for _, centre := range w.set.DataCentres {
+		w.centres = append(w.centres, centre.Name)
+	}
 	return w, w.addHosts()
 }
 
@@ -143,6 +141,12 @@
 	return w.startCallers(ctx)
 }
 
+// service returns a service of the example configuration.
+func (w *world) service(name fleet.ServiceName) config.Service {
+	service, _ := w.set.Service(name)
+	return service
+}
+
 func (w *world) startServers(ctx context.Context) error {
 	for _, s := range w.set.Servers {
 		w.evidence.CentreOf[s.Name] = s.DataCentre
@@ -249,7 +253,7 @@
 	a := Addresses{
 		Platform:     w.platformURL,
 		Gateway:      w.gatewayAddress.String(),
-		RequestHosts: []string{hostOf(serviceMaps), hostOf(serviceOrders)},
+		RequestHosts: []string{w.service(serviceMaps).Host, w.service(serviceScores).Host},
 	}
 	for _, p := range w.processes {
 		a.Hosts = append(a.Hosts, HostAddresses{
