trial: let servers be as cold as the example declares

Cause: with a cold rate of 20 a second no cold server came near its bound, so the check of the bound could not fail.

Change: servers take the default cold rate; UDP callers open short flows, too.

--- a/trial/callers.go
+++ b/trial/callers.go
@@ -18,6 +18,7 @@
 	hintsLongFlows  = 40 // of each caller
 	hintsShortFlows = 20
 	tallyLongFlows  = 10
+	tallyShortFlows = 10
 	shortLife       = 2 * time.Second
 	openRate        = 20.0 // flows a second of each caller
 	messageInterval = 250 * time.Millisecond
@@ -73,7 +74,7 @@
 		caller.Destination = w.service(serviceTally).Address
 		caller.Protocol = fleet.ProtocolUDP
 		caller.LongFlows = tallyLongFlows
-		caller.ShortFlows = 0
+		caller.ShortFlows = tallyShortFlows
 	}
 	return caller
 }
--- a/trial/layout.go
+++ b/trial/layout.go
@@ -34,7 +34,6 @@
 }
 
 const (
-	coldRate       = 20.0 // new flows or requests a second
 	warmupTime     = 3 * time.Second
 	maxConnections = 2000
 	serverSlots    = 2
@@ -92,7 +91,6 @@
 		HealthAddress:  health,
 		Slots:          serverSlots,
 		MaxConnections: maxConnections,
-		ColdRate:       coldRate,
 		WarmupTime:     warmupTime,
 	}, nil
 }
