Warm servers up by time at work, and retire splits that moved nothing

Cause: a server got warm only when it had served a quarter of what its growing bound allowed, so a service with few new flows stayed cold for good, and each new flow found no credit. Its slots stayed split, so its packets took a hop. Ruled out: lost grants (the carrier lost nothing). Change: a server warms up while it serves a fair share of its bound or of the demand, whichever is less; a host that had demand lately keeps one unit in stock; a split whose agreed server is the target, with no flow elsewhere, is retired at once.

--- a/backend/credit.go
+++ b/backend/credit.go
@@ -43,9 +43,14 @@
 
 	mu     sync.Mutex
 	grants []grant
-	demand int // units taken or refused since the last ask
+	demand int       // units taken or refused since the last ask
+	used   time.Time // last demand
 }
 
+// stockTime is how long after its last demand a host goes on asking for one
+// unit of credit, so that the next new flow or request finds it there.
+const stockTime = 10 * time.Second
+
 // grant is credit that may be spent until a set time.
 type grant struct {
 	count   int
@@ -74,6 +79,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.demand = min(t.demand+1, maxDemand)
+	t.used = now
 	for len(t.grants) > 0 {
 		first := &t.grants[0]
 		if first.count > 0 && now.Before(first.expires) {
@@ -91,10 +97,12 @@
 	t.grants = append(t.grants, g)
 }
 
-func (t *tank) takeDemand() int {
+// takeDemand returns the demand since the last call, and whether there was none
+// but one unit should be kept in stock.
+func (t *tank) takeDemand(now time.Time) (wanted int, stock bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	wanted := t.demand
+	wanted = t.demand
 	t.demand = 0
-	return wanted
+	return wanted, wanted == 0 && now.Sub(t.used) < stockTime
 }
--- a/backend/keeper.go
+++ b/backend/keeper.go
@@ -10,13 +10,8 @@
 // boundWindow is the time over which a bound on new work per second is kept.
 const boundWindow = time.Second
 
-// The growth of a warming server's bound, from ColdRate to growthFactor times it.
-const (
-	growthFactor = 16.0
-	// servedShare of what the bound allows must have been served for the server
-	// to warm up at the full pace.
-	servedShare = 0.25
-)
+// growthFactor is how much the bound of a warming server grows over ColdRate.
+const growthFactor = 16.0
 
 // keeping is the state of a keeper for one server.
 type keeping struct {
@@ -27,7 +22,7 @@
 	progress float64                    // 0 is cold, 1 is warm
 	grownAt  time.Time
 	served   map[fleet.HostID]uint64
-	recent   float64 // work served since grownAt
+	load     workload
 	doubts   map[fleet.HostID]time.Time
 }
 
@@ -258,17 +253,17 @@
 	p.setPhase(s, fleet.ServerCold)
 }
 
-// grow raises the bound with time and with the work that was served, whichever
-// is slower.
+// grow raises the bound with the time that the server has been at work.
 func (k *keeping) grow(now time.Time, s *server) {
-	warmup := warmupTime(s.config).Seconds()
-	byTime := now.Sub(k.grownAt).Seconds() / warmup
-	byWork := k.recent / (servedShare * k.rate(s) * warmup)
-	k.grownAt, k.recent = now, 0
+	passed := now.Sub(k.grownAt)
+	k.grownAt = now
+	k.load.decay(passed)
 	if s.record.Phase != fleet.ServerCold && s.record.Phase != fleet.ServerWarming {
 		return
 	}
-	k.progress = min(1, k.progress+min(byTime, byWork))
+	if k.load.atWork(k.rate(s)) {
+		k.progress = min(1, k.progress+passed.Seconds()/warmupTime(s.config).Seconds())
+	}
 }
 
 // rate is the bound on new work per second over all hosts.
--- a/backend/lending.go
+++ b/backend/lending.go
@@ -68,9 +68,11 @@
 		if s == nil || !s.promiseTo(now, from, polled.Succeeds, p.limits()) {
 			continue
 		}
+		wanted, stock := s.tank.takeDemand(now)
 		ask.Servers = append(ask.Servers, ServerAsk{
 			Server: polled.Server,
-			Wanted: s.tank.takeDemand(),
+			Wanted: wanted,
+			Stock:  stock,
 			Served: s.served,
 		})
 	}
@@ -109,7 +111,12 @@
 		k.promises[from] = until
 		k.known[from] = m.Known
 		k.noteServed(from, asked.Served)
-		count := p.grantable(now, s, asked.Wanted)
+		k.load.want(asked.Wanted)
+		wanted := asked.Wanted
+		if asked.Stock {
+			wanted = 1
+		}
+		count := p.grantable(now, s, wanted)
 		if count == 0 {
 			continue
 		}
@@ -126,7 +133,7 @@
 	before, seen := k.served[from]
 	k.served[from] = total
 	if seen && total > before {
-		k.recent += float64(total - before)
+		k.load.serve(float64(total - before))
 	}
 }
 
--- a/backend/message.go
+++ b/backend/message.go
@@ -38,6 +38,9 @@
 	Server fleet.ServerID `cbor:"server"`
 	// Wanted is how many new flows or requests the host could have given.
 	Wanted int `cbor:"wanted"`
+	// Stock asks for one unit although there was no demand, so that the next
+	// new flow or request finds it.
+	Stock bool `cbor:"stock,omitempty"`
 	// Served counts the work that the server has done for the host so far.
 	Served uint64 `cbor:"served"`
 }
--- a/flow/records.go
+++ b/flow/records.go
@@ -127,6 +127,16 @@
 	return len(due)
 }
 
+// onlyOn reports whether every record names one server.
+func (s *recordSet) onlyOn(server uint16) bool {
+	for i := range s.records {
+		if r := &s.records[i]; r.flags != 0 && r.server != server {
+			return false
+		}
+	}
+	return true
+}
+
 const (
 	halfOpenWays = 4
 	halfOpenSets = 16
@@ -195,3 +205,13 @@
 	ways[oldest] = r
 	return live
 }
+
+// onlyOn reports whether every half-open flow is on one server.
+func (s *halfOpenSet) onlyOn(server uint16) bool {
+	for i := range s {
+		if r := &s[i]; r.flags != 0 && r.server != server {
+			return false
+		}
+	}
+	return true
+}
--- a/flow/sweep.go
+++ b/flow/sweep.go
@@ -44,9 +44,20 @@
 	if target == noServer || !s.servers[target].usable() || s.servers[target].admission != AdmitFreely {
 		return false
 	}
+	if s.agreed[state.slot] == target && f.onlyOn(target) {
+		return true // unrecorded flows are on the agreed server, too
+	}
 	return now.Sub(f.lastOther) > idle
 }
 
+// onlyOn reports whether every recorded flow is on one server.
+func (f *slotFlows) onlyOn(server uint16) bool {
+	if !f.records.onlyOn(server) {
+		return false
+	}
+	return f.halfOpen == nil || f.halfOpen.onlyOn(server)
+}
+
 // retire makes slots whole and tells all peers. A peer that misses it goes on
 // handing off the packets of these slots, and they still reach the same server.
 func (r *Router) retire(s *service, slots []uint16) []fleet.Send {
