Spread configuration revisions between peers

Cause: every host needs the revision in force within 8 s although only a few read the platform, and must never go back.

--- a/peer/hub.go
+++ b/peer/hub.go
@@ -43,7 +43,7 @@
 	Listener  net.Listener
 	Datagrams net.PacketConn
 	// Heartbeat reports whether a message may go by datagram. Nil means the
-	// messages of package membership.
+	// messages of package membership and the heads of package rollout.
 	Heartbeat func(fleet.MessageKind) bool
 	// Now is the clock. Nil means time.Now.
 	Now func() time.Time
@@ -118,13 +118,13 @@
 			h.Now = time.Now
 		}
 		if h.Heartbeat == nil {
-			h.Heartbeat = isMembership
+			h.Heartbeat = isHeartbeat
 		}
 	})
 }
 
-func isMembership(kind fleet.MessageKind) bool {
-	return strings.HasPrefix(string(kind), "membership_")
+func isHeartbeat(kind fleet.MessageKind) bool {
+	return kind == "rollout_head" || strings.HasPrefix(string(kind), "membership_")
 }
 
 // Serve runs the hub until ctx ends. It is a suture service.
--- a/peer/hub_test.go
+++ b/peer/hub_test.go
@@ -57,12 +57,8 @@
 // serve starts a hub on free ports of loopback, which are entered in book.
 func serve(t *testing.T, id fleet.HostID, book map[fleet.HostID]netip.AddrPort, limits peer.Limits) *running {
 	t.Helper()
-	is := is.New(t)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
+	listener, datagrams := listen(t)
 	address := netip.MustParseAddrPort(listener.Addr().String())
-	datagrams, err := net.ListenPacket("udp", address.String())
-	is.NoErr(err)
 	book[id] = address
 	r := &running{registry: prometheus.NewRegistry(), arrivals: make(chan arrival, 1000)}
 	r.Hub = &peer.Hub{
@@ -85,6 +81,20 @@
 	return r
 }
 
+// listen returns sockets on one port number that is free for both protocols.
+func listen(t *testing.T) (net.Listener, net.PacketConn) {
+	t.Helper()
+	for {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		is.New(t).NoErr(err)
+		datagrams, err := net.ListenPacket("udp", listener.Addr().String())
+		if err == nil {
+			return listener, datagrams
+		}
+		_ = listener.Close()
+	}
+}
+
 func (r *running) start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error)
