Decide phases, shares and confirmation of data centres

Cause: data centres leave and return by command, and a host that is cut off must know what it may still do. Change: phases and a stepped ramp from the configuration's Since, a data centre that is kept when all would be out, confirmation by the platform, by hosts of other data centres, or by a chain of peers that keeps its age. Also rollout gives up a fetch that nobody can answer, which would have kept NeedFetch true for good.

--- /dev/null
+++ b/datacentre/tracker_test.go
@@ -0,0 +1,170 @@
+package datacentre_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/rattanthread/rattanthread/config"
+	"github.com/rattanthread/rattanthread/datacentre"
+	"github.com/rattanthread/rattanthread/fleet"
+)
+
+var (
+	start = time.Date(2026, 1, 2, 12, 0, 0, 0, time.UTC)
+	self  = fleet.Host{ID: "a1", DataCentre: "a"}
+	mate  = fleet.Host{ID: "a2", DataCentre: "a"}
+	far   = fleet.Host{ID: "b1", DataCentre: "b"}
+)
+
+func at(seconds float64) time.Time {
+	return start.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+func centre(name fleet.DataCentreID, state config.DataCentreState, since time.Time) config.DataCentre {
+	return config.DataCentre{Name: name, State: state, Since: since}
+}
+
+func tracker(centres ...config.DataCentre) *datacentre.Tracker {
+	t := &datacentre.Tracker{Self: self}
+	t.Install(start, centres)
+	return t
+}
+
+func ExampleTracker() {
+	t := &datacentre.Tracker{Self: fleet.Host{ID: "a1", DataCentre: "a"}}
+	t.Install(start, []config.DataCentre{
+		{Name: "a", State: config.StateIn, Since: start},
+		{Name: "b", State: config.StateIn},
+	})
+	for _, s := range []float64{0, 12, 30, 59, 60} {
+		fmt.Println(t.Phase(at(s), "a"), t.Share(at(s), "a"))
+	}
+	// Output:
+	// returning 0.0625
+	// returning 0.125
+	// returning 0.25
+	// returning 0.75
+	// in 1
+}
+
+func TestPhase(t *testing.T) {
+	never := time.Time{}
+	cases := []struct {
+		centre  config.DataCentre
+		seconds float64
+		phase   fleet.DataCentrePhase
+		share   float64
+	}{
+		{centre("a", "", never), 0, fleet.DataCentreIn, 1},
+		{centre("a", config.StateOut, never), 0, fleet.DataCentreOut, 0},
+		{centre("a", config.StateOut, start), 0, fleet.DataCentreLeaving, 0},
+		{centre("a", config.StateOut, start), 1.9, fleet.DataCentreLeaving, 0},
+		{centre("a", config.StateOut, start), 2, fleet.DataCentreOut, 0},
+		{centre("a", config.StateIn, start), 0, fleet.DataCentreReturning, 1.0 / 16},
+		{centre("a", config.StateIn, at(5)), 0, fleet.DataCentreReturning, 1.0 / 16}, // clock ahead
+		{centre("a", config.StateIn, start), 60, fleet.DataCentreIn, 1},
+		{centre("other", config.StateIn, start), 60, fleet.DataCentreOut, 0},
+	}
+	for i, c := range cases {
+		tr := tracker(c.centre, centre("b", config.StateIn, never))
+		if phase, share := tr.Phase(at(c.seconds), "a"), tr.Share(at(c.seconds), "a"); phase != c.phase || share != c.share {
+			t.Errorf("case %d: %v with share %v", i, phase, share)
+		}
+	}
+}
+
+func TestLastDataCentreStaysIn(t *testing.T) {
+	is := is.New(t)
+	tr := tracker(centre("a", config.StateOut, at(1)), centre("b", config.StateOut, at(2)), centre("c", config.StateOut, at(2)))
+	id, kept := tr.Kept()
+	is.True(kept)
+	is.Equal(id, fleet.DataCentreID("b"))
+	is.Equal(tr.Share(at(100), "b"), 1.0)
+	is.Equal(tr.Share(at(100), "a"), 0.0)
+	// One that returns takes its whole share while no other is in.
+	tr = tracker(centre("a", config.StateIn, start), centre("b", config.StateOut, start))
+	is.Equal(tr.Share(start, "a"), 1.0)
+}
+
+// TestStage finds that the stage changes with phase and share and not otherwise.
+func TestStage(t *testing.T) {
+	is := is.New(t)
+	tr := tracker(centre("a", config.StateIn, start), centre("b", config.StateIn, time.Time{}))
+	changes := 0
+	for s := 1; s < 200; s++ {
+		if tr.Stage(at(float64(s))) != tr.Stage(at(float64(s-1))) {
+			changes++
+		}
+	}
+	is.Equal(changes, 5)
+}
+
+func TestConfirmation(t *testing.T) {
+	two := []config.DataCentre{centre("a", "", time.Time{}), centre("b", "", time.Time{})}
+	cases := []struct {
+		name  string
+		event func(*datacentre.Tracker)
+		until float64 // confirmed before, and not from then on
+	}{
+		{"nothing heard", func(*datacentre.Tracker) {}, 0},
+		{"platform", func(tr *datacentre.Tracker) { tr.Confirm(start) }, 10},
+		{"another data centre", func(tr *datacentre.Tracker) { tr.Heard(start, far, 7) }, 10},
+		{"another data centre that lags", func(tr *datacentre.Tracker) { tr.Heard(start, far, 6) }, 0},
+		{"the own data centre", func(tr *datacentre.Tracker) { tr.Heard(start, mate, 8) }, 0},
+		{"a chain keeps its age", func(tr *datacentre.Tracker) {
+			tr.Receive(start, "a2", &datacentre.Confirmation{Age: 4 * time.Second})
+		}, 6},
+		{"an older confirmation changes nothing", func(tr *datacentre.Tracker) {
+			tr.Confirm(start)
+			tr.Receive(start, "a2", &datacentre.Confirmation{Age: 4 * time.Second})
+		}, 10},
+		{"a negative age is ignored", func(tr *datacentre.Tracker) {
+			tr.Receive(start, "a2", &datacentre.Confirmation{Age: -time.Hour})
+		}, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			tr := tracker(two...)
+			tr.SetRevision(7)
+			c.event(tr)
+			is.Equal(tr.Confirmed(at(c.until-0.1)), c.until > 0)
+			is.True(!tr.Confirmed(at(c.until)))
+			cut := tr.Allowed(at(c.until))
+			is.Equal(cut, datacentre.Work{EstablishedFlows: true, NewFlows: true, IdempotentRequests: true})
+		})
+	}
+	is.New(t).True(tracker(two[0]).Confirmed(start)) // the only one
+}
+
+// TestChainEnds passes confirmations among hosts that nobody confirms any more.
+func TestChainEnds(t *testing.T) {
+	is := is.New(t)
+	live := []fleet.Host{self, mate, far}
+	centres := []config.DataCentre{centre("a", "", time.Time{}), centre("b", "", time.Time{})}
+	hosts := map[fleet.HostID]*datacentre.Tracker{"a1": {Self: self}, "a2": {Self: mate}}
+	for _, h := range hosts {
+		h.Install(start, centres)
+	}
+	hosts["a1"].Confirm(start)
+	for s := 0; s < 20; s++ {
+		for _, id := range []fleet.HostID{"a1", "a2"} {
+			for _, send := range hosts[id].Tick(at(float64(s)), live) {
+				is.True(send.To != id && send.To != far.ID)
+				hosts[send.To].Receive(at(float64(s)), id, send.Message)
+			}
+		}
+		is.Equal(hosts["a2"].Confirmed(at(float64(s))), s < 10)
+	}
+}
+
+func TestOutDoesNothing(t *testing.T) {
+	is := is.New(t)
+	tr := tracker(centre("a", config.StateOut, start), centre("b", "", time.Time{}))
+	tr.Confirm(start)
+	is.Equal(tr.Allowed(at(1)), datacentre.Work{EstablishedFlows: true})
+	is.Equal(tr.Allowed(at(2)), datacentre.Work{})
+}
--- a/rollout/follower_test.go
+++ b/rollout/follower_test.go
@@ -160,21 +160,22 @@
 	early.Published = old.Published.Add(-time.Hour)
 	cases := []struct {
 		name  string
-		reads []config.Revised // one every 4 s
+		every time.Duration
+		reads []config.Revised
 		want  fleet.HistoryID
 	}{
-		{"one read is not enough", []config.Revised{recreated}, "h1"},
-		{"two reads are not enough", []config.Revised{recreated, recreated}, "h1"},
-		{"several reads over some time are", []config.Revised{recreated, recreated, recreated, recreated}, "h2"},
-		{"a read of the old one begins anew", []config.Revised{recreated, recreated, recreated, old, recreated}, "h1"},
-		{"an earlier one is never adopted", []config.Revised{early, early, early, early, early}, "h1"},
+		{"two reads are not enough", time.Minute, []config.Revised{recreated, recreated}, "h1"},
+		{"a short time is not enough", time.Second, []config.Revised{recreated, recreated, recreated, recreated}, "h1"},
+		{"several reads over some time are", 5 * time.Second, []config.Revised{recreated, recreated, recreated}, "h2"},
+		{"a read of the old one begins anew", 4 * time.Second, []config.Revised{recreated, recreated, recreated, old, recreated}, "h1"},
+		{"an earlier one is never adopted", time.Minute, []config.Revised{early, early, early, early, early}, "h1"},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			f := &rollout.Follower{Self: "a1", DataCentre: "north"}
 			f.Offer(now, old)
 			for i, r := range c.reads {
-				f.Offer(now.Add(time.Duration(i)*4*time.Second), r)
+				f.Offer(now.Add(time.Duration(i)*c.every), r)
 			}
 			r, _ := f.InForce()
 			is.New(t).Equal(r.History, c.want)
--- a/rollout/limits.go
+++ b/rollout/limits.go
@@ -18,6 +18,7 @@
 const (
 	treeFanout           = 4                // peers that a host passes a new revision to
 	freshPeers           = 2                // peers that a fresh host compares itself with
+	maxRetries           = 8                // fetches without an answer before the target is given up
 	maxChunks            = 1024             // of one snapshot
 	maxSnapshotBytes     = 16 << 20         // of one snapshot
 	historyConfirmations = 3                // reads of a new history before it is adopted
--- a/rollout/sync.go
+++ b/rollout/sync.go
@@ -18,6 +18,8 @@
 	sum    uint64    // of the snapshot under way
 	chunks [][]byte
 	count  int
+	// retries counts the fetches for target that had no answer.
+	retries int
 }
 
 // snapshot is the encoded configuration in force, made when a peer first needs it.
@@ -29,6 +31,9 @@
 // readAnnounce compares the sender's head with this host's.
 func (f *Follower) readAnnounce(now time.Time, from fleet.HostID, a *Announce) []fleet.Send {
 	mine := f.head()
+	if from == f.fetch.from && !a.Head.After(mine) {
+		f.fetch = fetch{} // it has nothing later after all
+	}
 	switch {
 	case a.Head.After(mine):
 		// A host that has not yet compared itself may hold a history that its
@@ -98,6 +103,11 @@
 	}
 	f.counts.Retries++
 	f.fetch.from = ""
+	f.fetch.retries++
+	if f.fetch.retries > maxRetries {
+		f.fetch = fetch{} // nobody has it; peers that do will say so
+		return nil
+	}
 	var sends []fleet.Send
 	for _, to := range f.compareWith() {
 		sends = append(sends, fleet.Send{To: to, Message: f.announce(true)})
