--- a/membership/acknowledge.go
+++ b/membership/acknowledge.go
@@ -94,6 +94,9 @@
 // readAcks merges what the sender knows of acknowledgements. It counts only
 // when both hold the same list of live hosts and the sender's state is not older.
 func (t *Table) readAcks(h *Header) {
+	if t.views.complete && h.State == t.views.local {
+		return
+	}
 	if h.Acks.List == t.list && h.State.covers(t.views.local) {
 		for i, host := range t.hosts {
 			m := t.members[host.ID]
--- a/membership/claim.go
+++ b/membership/claim.go
@@ -141,7 +141,7 @@
 	m.since = now
 	m.doubted = false
 	m.suspector = false
-	m.fresh = spread
+	t.setFresh(m, spread)
 	m.sent = 0
 	t.outdated = true
 }
--- a/membership/news.go
+++ b/membership/news.go
@@ -24,14 +24,13 @@
 
 // news returns the claims that were sent least often, up to newsBytes.
 func (t *Table) news(to fleet.HostID) []Claim {
-	fresh := t.fresh()
-	if len(fresh) == 0 {
+	if t.freshes == 0 {
 		return nil
 	}
 	var claims []Claim
 	limit := newsFactor * bits.Len(uint(len(t.peers)+1))
 	size := 0
-	for _, m := range fresh {
+	for _, m := range t.fresh() {
 		if m.Host.ID == to {
 			continue
 		}
@@ -43,7 +42,7 @@
 		}
 		claims = append(claims, c)
 		m.sent++
-		m.fresh = m.sent < limit
+		t.setFresh(m, m.sent < limit)
 	}
 	return claims
 }
@@ -81,7 +80,7 @@
 	if now.Before(t.nextGossip) {
 		return sends
 	}
-	if !t.anyFresh() && !t.awaitingAcks(now) {
+	if t.freshes == 0 && !t.awaitingAcks(now) {
 		return sends
 	}
 	t.nextGossip = now.Add(t.timing.Gossip)
@@ -91,13 +90,15 @@
 	return sends
 }
 
-func (t *Table) anyFresh() bool {
-	for _, m := range t.members {
-		if m.fresh {
-			return true
-		}
-	}
-	return false
+// setFresh sets whether there is news of a member to send.
+func (t *Table) setFresh(m *member, fresh bool) {
+	switch {
+	case fresh && !m.fresh:
+		t.freshes++
+	case !fresh && m.fresh:
+		t.freshes--
+	}
+	m.fresh = fresh
 }
 
 // pick returns up to n random members of list, none of them named except.
--- a/membership/table.go
+++ b/membership/table.go
@@ -39,12 +39,14 @@
 	hosts    []fleet.Host
 	list     uint32 // hash of hosts
 	outdated bool   // peers, lost, hosts and list must be rebuilt
+	freshes  int    // members that there is news of
 
 	views  views
 	probes probes
 	pause  pause
 
 	nextGossip time.Time
+	nextForget time.Time
 	nextSync   time.Time
 	synced     bool // this table has agreed with that of a peer
 	left       bool
@@ -222,6 +224,10 @@
 // forget drops the dead and the departed after a while, and candidates that no
 // hint names any more.
 func (t *Table) forget(now time.Time) {
+	if now.Before(t.nextForget) {
+		return
+	}
+	t.nextForget = now.Add(forgetInterval)
 	for id, m := range t.members {
 		if m.live() {
 			continue
@@ -232,6 +238,7 @@
 			limit = candidateLifetime
 		}
 		if now.Sub(last) > limit {
+			t.setFresh(m, false)
 			delete(t.members, id)
 			t.outdated = true
 		}
--- a/membership/timing.go
+++ b/membership/timing.go
@@ -28,6 +28,7 @@
 	confirmations     = 2           // peers that must confirm a stale host
 	recentStates      = 16          // earlier local states that Settled remembers
 	candidateLifetime = time.Minute // of a candidate after its last hint
+	forgetInterval    = time.Second // between searches for members to forget
 	joinSync          = time.Second // between fetches until a table has agreed with a peer's
 )
 
