Take no news from hosts that are held dead

Cause: a host that cannot hear spreads suspicions that it never sees refuted. The rule that such a host keeps its suspicions to itself changed no test. Change: the rule is gone; news from a host held dead is left aside until it refutes. Tests for indirect probes, news of the dead and late answers.

--- a/membership/claim.go
+++ b/membership/claim.go
@@ -16,7 +16,10 @@
 		t.readState(m, h.State)
 	}
 	refuted = t.learnSelf(now, h.About)
-	t.learnAll(now, h.News, true)
+	if m := t.members[h.Self.Host]; m != nil && m.live() {
+		// A host that is held dead may be unable to hear refutations.
+		t.learnAll(now, h.News, true)
+	}
 	t.rebuild()
 	t.readAcks(h)
 	if h.Acks.List == t.list {
@@ -131,7 +134,7 @@
 	for _, m := range t.livePeers() {
 		if m.Status == Suspect && now.Sub(m.since) >= t.timing.Suspicion {
 			t.counts.Deaths++
-			t.setStatus(now, m, Dead, t.healthy(now))
+			t.setStatus(now, m, Dead, true)
 		}
 	}
 }
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -14,7 +14,6 @@
 	order    []fleet.HostID
 	active   []*probe // by sequence
 	relays   []relay
-	answered time.Time // last answer to any probe
 }
 
 // probe is one probe of a member, of several attempts.
@@ -151,20 +150,13 @@
 	}
 	m.doubted = false
 	if m.Status == Alive {
-		t.suspect(now, m, t.healthy(now))
+		t.suspect(now, m, true)
 	}
 	m.suspector = true
 }
 
-// healthy reports whether this host has had an answer lately. A host that hears
-// from nobody is more likely at fault itself, so it keeps its suspicions to itself.
-func (t *Table) healthy(now time.Time) bool {
-	return now.Sub(t.probes.answered) < 2*t.timing.Probe
-}
-
 // readAck ends the probe that the Ack answers, or relays the Ack.
-func (t *Table) readAck(now time.Time, from fleet.HostID, a *Ack) []fleet.Send {
-	t.probes.answered = now
+func (t *Table) readAck(from fleet.HostID, a *Ack) []fleet.Send {
 	if from == a.Subject {
 		t.confirmedBy(from, a)
 	}
--- a/membership/table.go
+++ b/membership/table.go
@@ -127,7 +127,7 @@
 		ack := &Ack{Header: t.header(from), Sequence: m.Sequence, Subject: t.Self.ID}
 		return append(sends, fleet.Send{To: from, Message: ack})
 	case *Ack:
-		sends = t.readAck(now, from, m)
+		sends = t.readAck(from, m)
 	case *PingRequest:
 		sends = t.relay(now, from, m)
 	case *Fetch:
--- a/membership/table_test.go
+++ b/membership/table_test.go
@@ -52,6 +52,15 @@
 		n.run(settled)
 		is.True(n.whole())
 		is.Equal(n.total(deaths), uint64(8))
+
+		// News from a host that is held dead is not taken.
+		dead, x := host(4, 3, 1_700_000_000_000), n.nodes[n.order[0]]
+		before := x.table.Counts().Suspicions
+		x.table.Receive(n.now, dead.ID, &membership.Gossip{Header: membership.Header{
+			Self: membership.Claim{Host: dead.ID, Status: membership.Alive, Incarnation: dead.Incarnation},
+			News: []membership.Claim{{Host: n.order[1], Status: membership.Suspect, Incarnation: dead.Incarnation}},
+		}})
+		is.Equal(x.table.Counts().Suspicions, before)
 	})
 }
 
@@ -104,7 +113,7 @@
 		n.cut = func(from, to fleet.HostID) bool { return from == n.order[0] && to == n.order[1] }
 		n.run(time.Minute)
 		is.True(n.whole())
-		is.Equal(n.total(deaths), uint64(0))
+		is.Equal(n.total(suspicions), uint64(0))
 	})
 }
 
@@ -185,6 +194,29 @@
 	})
 }
 
+// TestOldAnswersDoNotConfirm gives a paused host the answers to what it sent
+// before the pause.
+func TestOldAnswersDoNotConfirm(t *testing.T) {
+	each(t, func(is *is.I, n *network) {
+		x := n.nodes[n.order[0]]
+		var answers []delivery
+		for range 30 {
+			n.now = n.now.Add(tickEvery)
+			for _, s := range x.table.Tick(n.now) {
+				for _, answer := range n.nodes[s.To].table.Receive(n.now, n.order[0], s.Message) {
+					answers = append(answers, delivery{n.order[0], s.To, answer.Message})
+				}
+			}
+		}
+		n.now = n.now.Add(5 * time.Second)
+		for _, d := range answers {
+			x.table.Receive(n.now, d.from, d.message)
+		}
+		is.True(len(answers) >= 3)
+		is.True(x.table.Stale(n.now))
+	})
+}
+
 func TestPausedHostAlone(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1_700_000_000, 0)
--- a/rollout/bench_test.go
+++ b/rollout/bench_test.go
@@ -14,7 +14,8 @@
 
 // BenchmarkResume compares resuming from a revision with whole snapshots. The
 // configuration has the target's size. First one change is published; then a
-// third of the hosts, which were cut off for ten changes, come back.
+// third of the hosts, which were cut off for ten changes, come back. Figures are
+// means over the seeds 1 to b.N.
 func BenchmarkResume(b *testing.B) {
 	var versions []config.Revised
 	for r := range fleet.Revision(12) {
@@ -28,8 +29,12 @@
 		for _, hosts := range []int{6, 9, 30, 100} {
 			for _, loss := range []float64{0, 0.05, 0.2} {
 				b.Run(fmt.Sprintf("%s/hosts=%d/loss=%v", mode, hosts, loss), func(b *testing.B) {
+					sums := make(map[string]float64)
 					for i := range b.N {
-						resume(b, uint64(i)+1, hosts, loss, rollout.Limits{BacklogSteps: backlog}, versions)
+						resume(b, uint64(i)+1, hosts, loss, rollout.Limits{BacklogSteps: backlog}, versions, sums)
+					}
+					for name, sum := range sums {
+						b.ReportMetric(sum/float64(b.N), name)
 					}
 				})
 			}
@@ -37,7 +42,7 @@
 	}
 }
 
-func resume(b *testing.B, seed uint64, hosts int, loss float64, limits rollout.Limits, versions []config.Revised) {
+func resume(b *testing.B, seed uint64, hosts int, loss float64, limits rollout.Limits, versions []config.Revised, sums map[string]float64) {
 	n := newNetwork(seed, hosts, 1, limits)
 	published := 0
 	n.platform = func(fleet.HostID) (config.Revised, bool) { return versions[published], true }
@@ -51,8 +56,8 @@
 		if !n.inForce(r) {
 			b.Errorf("revision %d is not in force after %v", r, d)
 		}
-		b.ReportMetric(d.Seconds(), name+"-s")
-		b.ReportMetric(float64(n.bytes-before)/float64(hosts), name+"-B/host")
+		sums[name+"-s"] += d.Seconds()
+		sums[name+"-B/host"] += float64(n.bytes-before) / float64(hosts)
 	}
 	published = 1
 	measure("one", 2)
