--- a/request/claim.go
+++ b/request/claim.go
@@ -28,6 +28,7 @@
 	attempt  AttemptID
 	deadline time.Time
 	result   Result
+	changed  time.Time // when this host learnt of the state
 	copiedAt time.Time
 	acked    uint64 // version that the successor has
 	waiting  []waiter
@@ -84,12 +85,12 @@
 	c.service, c.body, c.version, c.attempt = r.Service, r.Body, r.Version, r.Attempt
 	c.deadline = now.Add(r.TimeLeft)
 	k.setResult(c, r.Result)
-	k.setState(c, r.State)
+	k.setState(now, c, r.State)
 	return true
 }
 
-func (k *Keys) setState(c *claim, s ClaimState) {
-	c.state = s
+func (k *Keys) setState(now time.Time, c *claim, s ClaimState) {
+	c.state, c.changed = s, now
 	id := c.key.String()
 	if s == ClaimPending || s == ClaimRunning {
 		k.active[id] = c
--- a/request/history.go
+++ b/request/history.go
@@ -9,10 +9,16 @@
 
 // history is the fetching of claims that a host needs in a new ring.
 type history struct {
-	settled     bool // all is fetched for the current ring
+	settled     bool      // all is fetched for the current ring
+	settledAt   time.Time // when all was last known to be there
 	everSettled bool
+	settledRing Ring
 	settledID   RingID
-	rings       []Ring // the last settled ring, and the rings since
+	// rings are those that some live host has not yet fetched the claims of, and
+	// the current one.
+	rings       []Ring
+	peerSettled map[fleet.HostID]bool
+	sinceAsk    uint64 // only promises for later asks tell that a peer is settled
 	overflow    bool   // there were more rings since than are kept
 	gaps        []Gap
 	pulls       map[fleet.HostID]*pull
@@ -21,7 +27,7 @@
 
 // pull is the fetching from one peer.
 type pull struct {
-	cursor      int
+	cursor      string
 	done        bool
 	rings       []Ring
 	overflow    bool
@@ -37,14 +43,8 @@
 
 // begin starts to fetch for a new ring.
 func (h *history) begin(ring Ring, self Member) {
-	h.settled = false
 	h.exports = make(map[fleet.HostID][]string)
-	h.pulls = make(map[fleet.HostID]*pull)
-	for _, m := range ring {
-		if m != self {
-			h.pulls[m.Host] = &pull{}
-		}
-	}
+	h.fetch(ring, self)
 	for _, r := range h.rings {
 		if slices.Equal(r, ring) {
 			return
@@ -57,6 +57,34 @@
 	h.rings = append(h.rings, ring)
 }
 
+// fetch starts to fetch from all peers. The asking waits for the lease: only
+// what is fetched while it is held is complete.
+func (h *history) fetch(ring Ring, self Member) {
+	h.settled = false
+	h.peerSettled = make(map[fleet.HostID]bool)
+	h.pulls = make(map[fleet.HostID]*pull)
+	for _, m := range ring {
+		if m != self {
+			h.pulls[m.Host] = &pull{}
+		}
+	}
+}
+
+// checkLease notices that the lease has lapsed, as after a pause. Then other
+// hosts may have acted by another ring in the meantime, even if this host has
+// seen none, and all is fetched anew, also what was fetched before the lapse.
+func (k *Keys) checkLease(now time.Time) {
+	h := &k.history
+	if !k.lease.heldAt(now) {
+		h.fetch(k.ring, k.self)
+		h.sinceAsk = k.lease.number
+		return
+	}
+	if h.settled {
+		h.settledAt = now
+	}
+}
+
 func (h *history) addGap(g Gap) {
 	for _, old := range h.gaps {
 		if old.equal(g) {
@@ -86,16 +114,23 @@
 	return false
 }
 
-func (k *Keys) askHistory() Effects {
+func (k *Keys) askHistory(now time.Time) Effects {
 	var e Effects
-	if k.stopped || k.history.settled {
+	h := &k.history
+	if k.stopped || h.settled || !k.lease.heldAt(now) {
 		return e
 	}
 	for _, m := range k.ring {
-		p := k.history.pulls[m.Host]
-		if p != nil && !p.done {
-			e.send(m.Host, &HistoryAsk{Ring: k.ringID, Cursor: p.cursor, Settled: k.history.settledID})
+		p := h.pulls[m.Host]
+		if p == nil || p.done {
+			continue
 		}
+		e.send(m.Host, &HistoryAsk{
+			Ring:    k.ringID,
+			Cursor:  p.cursor,
+			Settled: h.settledID,
+			Since:   now.Sub(h.settledAt),
+		})
 	}
 	return e
 }
@@ -107,18 +142,17 @@
 		return Effects{}
 	}
 	h := &k.history
-	keys, ok := h.exports[from]
-	if !ok {
-		keys = k.export(from, m.Settled)
-		h.exports[from] = keys
+	if _, ok := h.exports[from]; !ok || m.Cursor == "" {
+		h.exports[from] = k.export(now, from, m)
 	}
-	if m.Cursor < 0 || m.Cursor > len(keys) {
-		return Effects{}
+	keys := h.exports[from]
+	start, found := slices.BinarySearch(keys, m.Cursor)
+	if found {
+		start++
 	}
-	part := &HistoryPart{Ring: m.Ring, Cursor: m.Cursor}
-	part.Next = min(len(keys), m.Cursor+claimsPerPart)
-	part.Last = part.Next == len(keys)
-	for _, key := range keys[m.Cursor:part.Next] {
+	end := min(len(keys), start+claimsPerPart)
+	part := &HistoryPart{Ring: m.Ring, Cursor: m.Cursor, Last: end == len(keys)}
+	for _, key := range keys[start:end] {
 		if c := k.claims[key]; c != nil {
 			part.Claims = append(part.Claims, c.record(now))
 		}
@@ -130,18 +164,22 @@
 	return Effects{Sends: []fleet.Send{{To: from, Message: part}}}
 }
 
+// changeMargin allows for the time that a change takes from host to host.
+const changeMargin = time.Second
+
 // export lists the claims that to needs in the current ring, without those that
-// it had already when both were last settled.
-func (k *Keys) export(to fleet.HostID, settled RingID) []string {
+// it had when it was last settled and that have not changed since.
+func (k *Keys) export(now time.Time, to fleet.HostID, m *HistoryAsk) []string {
 	h := &k.history
-	had := h.everSettled && settled == h.settledID
+	had := h.everSettled && m.Settled == h.settledID
+	since := now.Add(-m.Since - changeMargin)
 	var keys []string
 	for _, key := range sortedKeys(k.claims) {
 		owner, successor := k.ring.pair(key)
 		if owner != to && successor != to {
 			continue
 		}
-		if had && h.rings[0].involves(key, to) {
+		if had && h.settledRing.involves(key, to) && k.claims[key].changed.Before(since) {
 			continue
 		}
 		keys = append(keys, key)
@@ -162,9 +200,11 @@
 	for _, r := range m.Claims {
 		k.adopt(now, r)
 	}
-	p.cursor = m.Next
+	if n := len(m.Claims); n > 0 {
+		p.cursor = m.Claims[n-1].Key
+	}
 	if !m.Last {
-		return k.askHistory()
+		return k.askHistory(now)
 	}
 	p.done, p.rings, p.overflow, p.everSettled = true, m.Rings, m.Overflow, m.Settled
 	for _, g := range m.Gaps {
@@ -201,7 +241,23 @@
 			h.addGap(Gap{Ring: r, Alive: k.ring, Before: before})
 		}
 	}
-	h.settled, h.everSettled, h.settledID = true, true, k.ringID
+	h.settled, h.everSettled = true, true
+	h.settledRing, h.settledID, h.settledAt = k.ring, k.ringID, now
+	k.dropRings()
+}
+
+// dropRings forgets earlier rings once every live host has fetched its claims.
+// Until then a host that has not may be the only one left of a pair.
+func (k *Keys) dropRings() {
+	h := &k.history
+	if !h.settled {
+		return
+	}
+	for _, m := range k.ring {
+		if m != k.self && !h.peerSettled[m.Host] {
+			return
+		}
+	}
 	h.rings, h.overflow = []Ring{k.ring}, false
 }
 
--- a/request/keys.go
+++ b/request/keys.go
@@ -55,6 +55,7 @@
 	if k.started.IsZero() {
 		k.start(now)
 	}
+	k.checkLease(now)
 	k.view = v
 	k.view.Hosts = slices.Clone(v.Hosts)
 	ring := newRing(v.Hosts, v.DataCentre)
@@ -68,7 +69,7 @@
 		e = k.recopy(now)
 	}
 	e.merge(k.askLease(now))
-	e.merge(k.askHistory())
+	e.merge(k.askHistory(now))
 	return e
 }
 
@@ -89,6 +90,7 @@
 	if k.started.IsZero() {
 		return Effects{}
 	}
+	k.checkLease(now)
 	switch m := m.(type) {
 	case *ClaimAsk:
 		return k.claimAsked(now, m)
@@ -121,9 +123,10 @@
 	if k.started.IsZero() {
 		return Effects{}
 	}
+	k.checkLease(now)
 	k.lease.note(now, k.ring, k.view.Gone, k.limits())
 	e := k.askLease(now)
-	e.merge(k.askHistory())
+	e.merge(k.askHistory(now))
 	k.settle(now)
 	e.merge(k.tickClaims(now))
 	e.merge(k.tickAttempts(now))
--- a/request/lease.go
+++ b/request/lease.go
@@ -168,6 +168,7 @@
 	answer := &LeasePromise{Ring: m.Ring, Number: m.Number}
 	answer.Given = k.mayPromise(now, from, m)
 	if answer.Given {
+		answer.Settled = k.history.settled
 		l.given[from] = givenPromise{
 			incarnation: m.Incarnation,
 			number:      m.Number,
@@ -212,4 +213,8 @@
 	if until.After(l.confirmed[from]) {
 		l.confirmed[from] = until
 	}
+	if m.Settled && m.Number > k.history.sinceAsk {
+		k.history.peerSettled[from] = true
+		k.dropRings()
+	}
 }
--- a/request/message.go
+++ b/request/message.go
@@ -83,21 +83,24 @@
 	Ring    RingID        `cbor:"ring"`
 	Number  uint64        `cbor:"number"`
 	Given   bool          `cbor:"given"`
+	Settled bool          `cbor:"settled"` // the sender has fetched all claims for the ring
 	Members []KnownMember `cbor:"members"`
 }
 
 // HistoryAsk asks a peer for the claims that the sender needs in a new ring.
 type HistoryAsk struct {
-	Ring    RingID `cbor:"ring"`
-	Cursor  int    `cbor:"cursor"`
-	Settled RingID `cbor:"settled"`
+	Ring RingID `cbor:"ring"`
+	// Cursor is the last key received so far, or empty.
+	Cursor string `cbor:"cursor"`
+	// Settled is the ring whose claims the sender had all, Since ago.
+	Settled RingID        `cbor:"settled"`
+	Since   time.Duration `cbor:"since"`
 }
 
 // HistoryPart answers a HistoryAsk.
 type HistoryPart struct {
 	Ring   RingID        `cbor:"ring"`
-	Cursor int           `cbor:"cursor"`
-	Next   int           `cbor:"next"`
+	Cursor string        `cbor:"cursor"`
 	Last   bool          `cbor:"last"`
 	Claims []ClaimRecord `cbor:"claims"`
 	// Rings are those that the sender has acted in since it was last settled.
--- a/request/owner.go
+++ b/request/owner.go
@@ -90,7 +90,7 @@
 	c.attempt, c.deadline = a, deadline
 	c.version++
 	k.setResult(c, Result{})
-	k.setState(c, ClaimPending)
+	k.setState(now, c, ClaimPending)
 	return k.copyClaim(now, c)
 }
 
@@ -138,7 +138,7 @@
 	if c.state != ClaimPending || !k.mayDecide(now, c.key) {
 		return Effects{}
 	}
-	k.setState(c, ClaimRunning)
+	k.setState(now, c, ClaimRunning)
 	return k.answer(now, c.attempt, Verdict{Decision: DecisionRun})
 }
 
@@ -194,11 +194,11 @@
 	waiting := c.waiting
 	c.waiting = nil
 	if r.Outcome == Refused {
-		k.setState(c, ClaimFree)
+		k.setState(now, c, ClaimFree)
 		return k.grantNext(now, c, waiting)
 	}
 	k.setResult(c, r)
-	k.setState(c, ClaimDone)
+	k.setState(now, c, ClaimDone)
 	e := k.copyUntilAcked(now, c)
 	for _, w := range waiting {
 		e.merge(k.answer(now, w.attempt, c.verdict()))
