--- a/command/command_test.go
+++ b/command/command_test.go
@@ -92,7 +92,8 @@
 		{"publish " + example, 0, "nothing to publish"},
 		{"out tp2", 0, "~ data_centre tp2: state in -> out\npublished revision 2"},
 		{"out tp2", 0, "nothing to do"},
-		{"publish " + example, 0, "nothing to publish: revision 2"}, // files don't bring tp2 back
+		{"publish " + example, 0, "nothing to publish: revision 2"},                    // files don't bring tp2 back
+		{"publish -dry-run testdata/lighter", 0, "~ data_centre tp2: state out -> in"}, // unless they say so
 		{"out tp1", 1, "no backend server can serve it"},
 		{"out", 2, "want one data centre"},
 		{"drain hints-tp1-1", 0, "drain false -> true\npublished revision 3"},
@@ -129,8 +130,8 @@
 		want        string
 	}{
 		"another object":  {"drain hints-tp1-1", "drain maps-tp1-1", 0, "published revision 3"},
-		"the same object": {"drain hints-tp1-1", "publish ../command/testdata/lighter", 1, "~ server hints-tp1-1: weight 100 -> 10"},
-		"publish":         {"publish ../command/testdata/lighter", "drain maps-tp1-1", 1, "~ server maps-tp1-1: drain false -> true"},
+		"the same object": {"drain hints-tp1-1", "publish testdata/lighter", 1, "~ server hints-tp1-1: weight 100 -> 10"},
+		"publish":         {"publish testdata/lighter", "drain maps-tp1-1", 1, "~ server maps-tp1-1: drain false -> true"},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/config/delta_test.go
+++ b/config/delta_test.go
@@ -82,6 +82,18 @@
 	})
 }
 
+// A delta that was damaged on its way is refused.
+func TestApplyRefusesAnotherResult(t *testing.T) {
+	is := is.New(t)
+	old := sizedSet(2, 2, 4)
+	updated := old.Normalised()
+	updated.Servers[0].Drain = true
+	delta := config.Compare(old, updated)
+	delta.Servers.Put[0].Weight++
+	_, err := delta.Apply(old)
+	is.True(err != nil)
+}
+
 func drawSet(t *rapid.T, label string) config.Set {
 	full := sizedSet(2, 3, 6)
 	full.Rules = []config.Rule{{Name: "r", Service: "service-1", Kind: config.RuleOnly, Centres: []fleet.DataCentreID{"dc-1"}}}
--- a/declaration/document.go
+++ b/declaration/document.go
@@ -67,7 +67,8 @@
 		p, k := joinPath(path, name), joinPath(key, name)
 		field, ok := fields[name]
 		if !ok {
-			d.fail(p, object, k, "unknown key")
+			known := slices.Sorted(maps.Keys(fields))
+			d.fail(p, object, k, "unknown key; the keys here are "+strings.Join(known, ", "))
 			continue
 		}
 		d.decodeField(field, values[name], p, object, k)
--- a/declaration/value.go
+++ b/declaration/value.go
@@ -4,7 +4,9 @@
 	"cmp"
 	"fmt"
 	"net/netip"
+	"reflect"
 	"regexp"
+	"strings"
 )
 
 // MaxNameBytes is the length of the longest name.
@@ -49,3 +51,29 @@
 	}
 	return fmt.Sprintf("%v is not between %v and %v", value, low, high)
 }
+
+// Keys returns the path of every key that files can set in a struct, such as
+// "service.flow.idle_timeout", in the order of its fields.
+func Keys(target any) []string {
+	return keysOf(reflect.TypeOf(target), "")
+}
+
+func keysOf(t reflect.Type, prefix string) []string {
+	var keys []string
+	for i := range t.NumField() {
+		key, _, _ := strings.Cut(t.Field(i).Tag.Get("toml"), ",")
+		if key == "" || key == "-" {
+			continue
+		}
+		inner := t.Field(i).Type
+		if inner.Kind() == reflect.Slice {
+			inner = inner.Elem()
+		}
+		if isTable(inner) {
+			keys = append(keys, keysOf(inner, prefix+key+".")...)
+			continue
+		}
+		keys = append(keys, prefix+key)
+	}
+	return keys
+}
