Measure sizes and times of the configuration

Cause: the target size must fit into one object of the platform and into the control budget of a host.

--- a/config/delta_test.go
+++ b/config/delta_test.go
@@ -26,12 +26,15 @@
 		s.Services = append(s.Services, sizedService(i))
 	}
 	for i := range servers {
+		// An odd factor spreads the addresses and keeps them apart.
+		spread := uint32(i) * 0x9e3779b1
+		ip := netip.AddrFrom4([4]byte{10, byte(spread >> 16), byte(spread >> 8), byte(spread)})
 		s.Servers = append(s.Servers, config.Server{
 			Name:          fleet.ServerID(fmt.Sprintf("service-%d-server-%d", i%services, i/services)),
 			Service:       sizedService(i % services).Name,
 			DataCentre:    centreName(i / services % centres),
-			Address:       netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), 8000),
-			HealthAddress: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), 9000),
+			Address:       netip.AddrPortFrom(ip, 8000),
+			HealthAddress: netip.AddrPortFrom(ip, 9000),
 		})
 	}
 	return s.Normalised()
@@ -182,6 +185,26 @@
 	})
 }
 
+// The sizes of today (per user), ten times that, and the target.
+func BenchmarkSizes(b *testing.B) {
+	for _, size := range []struct{ centres, services, servers int }{{3, 2, 18}, {4, 20, 180}, {5, 880, 3400}} {
+		b.Run(fmt.Sprintf("%d services %d servers", size.services, size.servers), func(b *testing.B) {
+			set := sizedSet(size.centres, size.services, size.servers)
+			updated := set.Normalised()
+			updated.Servers[0].Drain = true
+			var plain, compressed, delta []byte
+			for b.Loop() {
+				plain, _ = set.Encode()
+				compressed, _ = config.Revised{Revision: 1, Set: set}.Encode()
+				delta, _ = config.Compare(set, updated).Encode()
+			}
+			b.ReportMetric(float64(len(plain)), "plain-bytes")
+			b.ReportMetric(float64(len(compressed)), "compressed-bytes")
+			b.ReportMetric(float64(len(delta)), "delta-bytes")
+		})
+	}
+}
+
 func BenchmarkCheck(b *testing.B) {
 	set := targetSet()
 	for b.Loop() {
@@ -191,13 +214,9 @@
 
 func BenchmarkEncodeRevised(b *testing.B) {
 	r := config.Revised{Revision: 1, Set: targetSet()}
-	var data []byte
 	for b.Loop() {
-		data, _ = r.Encode()
+		_, _ = r.Encode()
 	}
-	plain, _ := r.Set.Encode()
-	b.ReportMetric(float64(len(data)), "compressed-bytes")
-	b.ReportMetric(float64(len(plain)), "plain-bytes")
 }
 
 func BenchmarkDecodeRevised(b *testing.B) {
@@ -210,11 +229,9 @@
 func BenchmarkDelta(b *testing.B) {
 	old, updated := targetSet(), targetSet()
 	updated.Servers[17].Drain = true
-	var data []byte
 	for b.Loop() {
-		data, _ = config.Compare(old, updated).Encode()
+		_, _ = config.Compare(old, updated).Encode()
 	}
-	b.ReportMetric(float64(len(data)), "delta-bytes")
 }
 
 func BenchmarkApply(b *testing.B) {
