Prune old revisions, be patient with a slow platform

Change: publishing commands delete revisions older than the last 1,000, wait 10 s for a call, and retry an edit from the winner that the conflict carries. A file that is given twice is read once. Conclusion: storage on the platform is bounded.

--- a/command/command.go
+++ b/command/command.go
@@ -25,8 +25,15 @@
 // DefaultPlatformURL is where the platform command listens by default.
 const DefaultPlatformURL = "http://127.0.0.1:7000"
 
-// timeout bounds a command that changes the configuration.
-const timeout = 30 * time.Second
+// How long a command that changes the configuration may take, and one of its
+// calls: operators wait for a slow platform longer than hosts do.
+const (
+	timeout     = time.Minute
+	callTimeout = 10 * time.Second
+)
+
+// keptRevisions is how far back rollback reaches.
+const keptRevisions = 1000
 
 // All returns the commands of this package.
 func All() []subcommands.Command {
@@ -70,7 +77,7 @@
 	for line := range strings.Lines(err.Error()) {
 		fmt.Fprintf(w, "rattanthread: %s\n", strings.TrimSuffix(line, "\n"))
 	}
-	if errors.Is(err, errInput) || isProblems(err) {
+	if errors.Is(err, errInput) || errors.Is(err, platform.ErrRefused) || isProblems(err) {
 		return subcommands.ExitUsageError
 	}
 	return subcommands.ExitFailure
@@ -80,7 +87,7 @@
 	if e.Connect != nil {
 		return e.Connect(url)
 	}
-	return &platform.Client{URL: url}
+	return &platform.Client{URL: url, Timeout: callTimeout}
 }
 
 // errInput marks what the caller of the command has to correct.
--- a/command/command_test.go
+++ b/command/command_test.go
@@ -106,7 +106,7 @@
 		{"rollback x", 2, "not a revision"},
 		{"publish -base 3 " + example, 1, "~ data_centre tp2: state out -> in\n~ server hints-tp1-1: drain true -> false\n"},
 		{"publish -base 9 " + example, 2, "never published"},
-		{"publish -publication X " + example, 1, "bad publication id"},
+		{"publish -publication X " + example, 2, "bad publication id"},
 		{"in tp2", 0, "nothing to do"},
 		{"status extra", 2, "want no arguments"},
 		{"status -hosts here", 2, "not an address"},
--- a/command/edit.go
+++ b/command/edit.go
@@ -44,10 +44,7 @@
 			return p.conflict(current, err)
 		}
 		p.environment.printf("revision %d came first and left %s alone: trying again\n", lost.Winner.Revision, e.object)
-		current, err = p.readAtLeast(ctx, lost.Winner.Revision)
-		if err != nil {
-			return err
-		}
+		current = inForce{lost.Head, lost.Winner}
 	}
 	return errors.Errorf("%s: others published %d times meanwhile; try again", e.object, editAttempts)
 }
@@ -73,15 +70,6 @@
 	return slices.ContainsFunc(changes, func(c config.Change) bool { return c.Object == e.object })
 }
 
-// readAtLeast reads what is in force until the read doesn't lag behind rev.
-func (p *publisher) readAtLeast(ctx context.Context, rev fleet.Revision) (inForce, error) {
-	current, err := p.read(ctx)
-	if err == nil && current.head.Revision < rev {
-		return inForce{}, errors.Errorf("the platform shows revision %d after %d; try again", current.head.Revision, rev)
-	}
-	return current, err
-}
-
 func setState(name fleet.DataCentreID, state config.DataCentreState) edit {
 	return edit{
 		object:  config.Object{Kind: config.ObjectDataCentre, Name: string(name)},
--- a/command/publish.go
+++ b/command/publish.go
@@ -141,9 +141,19 @@
 		return err
 	}
 	p.environment.printf("published revision %d\n", revised.Revision)
+	p.prune(ctx, revised)
 	return nil
 }
 
+// prune deletes the revisions that are too old for a rollback. What it can't
+// delete now it finds again after the next publication.
+func (p *publisher) prune(ctx context.Context, revised config.Revised) {
+	head := platform.Head{History: revised.History, Revision: revised.Revision}
+	if _, err := p.client.Prune(ctx, head, keptRevisions); err != nil {
+		p.environment.printf("old revisions are still there: %v\n", err)
+	}
+}
+
 // overtaken is the error of a change that was made for a base which is no
 // longer in force. It shows what was changed since.
 func (p *publisher) overtaken(ctx context.Context, base fleet.Revision, current inForce) error {
--- a/config/load.go
+++ b/config/load.go
@@ -30,11 +30,16 @@
 func Load(paths ...string) (Set, error) {
 	var files []File
 	for _, path := range paths {
-		found, err := readFiles(path)
+		found, err := readFiles(filepath.Clean(path))
 		if err != nil {
 			return Set{}, err
 		}
-		files = append(files, found...)
+		for _, file := range found {
+			// A file may be given by itself and by its directory.
+			if !slices.ContainsFunc(files, func(f File) bool { return f.Name == file.Name }) {
+				files = append(files, file)
+			}
+		}
 	}
 	if len(files) == 0 {
 		return Set{}, errors.Errorf("load configuration: no .toml file in %s", strings.Join(paths, ", "))
--- a/config/load_test.go
+++ b/config/load_test.go
@@ -37,6 +37,8 @@
 	is.Equal(len(set.DataCentres), 2)
 	is.Equal(len(set.Services), 4)
 	is.Equal(len(set.Servers), 16)
+	_, err = config.LoadChecked("../examples/configuration", "../examples/configuration/maps.toml")
+	is.NoErr(err) // a file that is given twice is read once
 	fromFS, err := config.LoadFS(os.DirFS("../examples/configuration"))
 	is.NoErr(err)
 	is.Equal(fromFS.Normalised().Digest(), set.Digest())
--- a/platformstandin/server.go
+++ b/platformstandin/server.go
@@ -109,7 +109,7 @@
 	case write && name != "":
 		s.serveWrite(w, r, name)
 	case r.Method == http.MethodGet && name == "":
-		s.serveList(w, query.Get("prefix"))
+		s.serveList(w, query.Get("prefix"), query.Get("values") != "false")
 	case r.Method == http.MethodGet && query.Has("wait"):
 		s.serveWatch(w, r, name)
 	case r.Method == http.MethodGet:
@@ -162,10 +162,15 @@
 	writeObject(w, e)
 }
 
-func (s *Server) serveList(w http.ResponseWriter, prefix string) {
+func (s *Server) serveList(w http.ResponseWriter, prefix string, values bool) {
 	s.mu.Lock()
 	list := s.store.list(prefix, s.readTime(max(s.faults.Lag, s.faults.ListLag)), s.now())
 	s.mu.Unlock()
+	for i := range list.Objects {
+		if !values {
+			list.Objects[i].Value = nil
+		}
+	}
 	writeJSON(w, list)
 }
 
