--- a/command/publish.go
+++ b/command/publish.go
@@ -73,7 +73,7 @@
 }
 
 func (c *Publish) publish(ctx context.Context, set config.Set) error {
-	publisher := publisher{environment: &c.Environment, client: c.connect(c.address()), publication: c.Publication}
+	publisher := publisher{environment: &c.Environment, client: c.connect(c.address()), publication: c.Publication, byID: true}
 	current, err := publisher.read(ctx)
 	if err != nil {
 		return err
@@ -110,6 +110,8 @@
 	environment *Environment
 	client      *platform.Client
 	publication string
+	// byID is set for a command that takes the id of an attempt to repeat.
+	byID bool
 }
 
 // inForce is what a command read before its change.
@@ -136,7 +138,7 @@
 	revised, err := p.client.PublishDraft(ctx, current.head, platform.Draft{Set: set, Publication: id, Message: message})
 	switch {
 	case errors.Is(err, platform.ErrUnavailable):
-		return errors.Wrapf(err, "it is unknown whether this was published; repeat the command with -publication %s", id)
+		return errors.Wrapf(err, "it is unknown whether this was published; %s", p.repeat(id))
 	case err != nil:
 		return err
 	}
@@ -145,6 +147,16 @@
 	return nil
 }
 
+// repeat tells how to repeat a command whose outcome is unknown. A command that
+// changes what is in force finds its change there; files could meanwhile have
+// been overtaken by others.
+func (p *publisher) repeat(id string) string {
+	if p.byID {
+		return "repeat the command with -publication " + id
+	}
+	return "repeat the command"
+}
+
 // prune deletes the revisions that are too old for a rollback. What it can't
 // delete now it finds again after the next publication.
 func (p *publisher) prune(ctx context.Context, revised config.Revised) {
