Test the stand-in's conditions, faults, lags and leases

Cause: the stand-in was tested only through the client. Change: tables of conditional writes and refusals, the faults over HTTP, lagging lists, reads and watches, and the end of a lease. Conclusion: the faults do what docs/PLATFORM.md says.

--- /dev/null
+++ b/platformstandin/server_test.go
@@ -0,0 +1,125 @@
+package platformstandin_test
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/rattanthread/rattanthread/platformstandin"
+)
+
+// call makes one request and returns its status, ETag and body.
+func call(t *testing.T, c *http.Client, method, url, header, value string) (int, string, string) {
+	t.Helper()
+	is := is.New(t)
+	request, err := http.NewRequestWithContext(t.Context(), method, url, strings.NewReader(value))
+	is.NoErr(err)
+	if name, condition, ok := strings.Cut(header, ": "); ok {
+		request.Header.Set(name, condition)
+	}
+	response, err := c.Do(request)
+	if err != nil {
+		return 0, "", err.Error()
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	return response.StatusCode, response.Header.Get("ETag"), string(body)
+}
+
+func TestConditionalWrites(t *testing.T) {
+	steps := []struct {
+		method, path, header, value string
+		status                      int
+		etag                        string
+	}{
+		{"GET", "/v1/objects/a", "", "", 404, ""},
+		{"PUT", "/v1/objects/a", "If-Match: \"1\"", "x", 412, `"0"`},
+		{"PUT", "/v1/objects/a", "If-None-Match: *", "x", 204, `"1"`},
+		{"PUT", "/v1/objects/a", "If-None-Match: *", "y", 412, `"1"`},
+		{"PUT", "/v1/objects/b", "", "y", 204, `"2"`},
+		{"PUT", "/v1/objects/a", "If-Match: \"1\"", "z", 204, `"3"`},
+		{"PUT", "/v1/objects/a", "If-Match: \"1\"", "w", 412, `"3"`},
+		{"GET", "/v1/objects/a", "", "", 200, `"3"`},
+		{"GET", "/v1/objects/a?after=1&wait=1s", "", "", 200, `"3"`},
+		{"GET", "/v1/objects/a?after=1&wait=x", "", "", 400, ""},
+		{"DELETE", "/v1/objects/a", "If-Match: \"1\"", "", 412, `"3"`},
+		{"DELETE", "/v1/objects/a", "If-Match: \"3\"", "", 204, `"4"`},
+		{"GET", "/v1/objects/a", "", "", 404, ""},
+		{"PUT", "/v1/objects/c", "", strings.Repeat("c", 1<<20+1), 413, ""},
+		{"PUT", "/v1/objects/c?lease=soon", "", "c", 400, ""},
+		{"POST", "/v1/objects/c", "", "c", 405, ""},
+		{"POST", "/faults?lag=old", "", "", 400, ""},
+		{"POST", "/faults?mood=bad", "", "", 400, ""},
+		{"GET", "/elsewhere", "", "", 404, ""},
+	}
+	server := httptest.NewServer(&platformstandin.Server{})
+	defer server.Close()
+	for _, step := range steps {
+		status, etag, body := call(t, server.Client(), step.method, server.URL+step.path, step.header, step.value)
+		if status != step.status || etag != step.etag {
+			t.Fatalf("%s %s: %d %s %s, want %d %s", step.method, step.path, status, etag, body, step.status, step.etag)
+		}
+	}
+}
+
+// The faults do over HTTP what the page says.
+func TestFaultsOverHTTP(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer(&platformstandin.Server{})
+	defer server.Close()
+	// On a connection that it has used before, net/http would repeat a lost read.
+	c, root := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, server.URL
+	call(t, c, "POST", root+"/faults?lose_answers=1", "", "")
+	status, _, _ := call(t, c, "PUT", root+"/v1/objects/a", "", "x")
+	is.Equal(status, 0) // no answer
+	status, _, body := call(t, c, "GET", root+"/v1/objects/a", "", "")
+	is.Equal(status, 200)
+	is.Equal(body, "x") // but it took effect
+	call(t, c, "POST", root+"/faults?down=true", "", "")
+	status, _, _ = call(t, c, "GET", root+"/v1/objects/a", "", "")
+	is.Equal(status, 0)
+	call(t, c, "DELETE", root+"/faults", "", "")
+	status, _, _ = call(t, c, "GET", root+"/v1/objects/a", "", "")
+	is.Equal(status, 200)
+	_, _, body = call(t, c, "GET", root+"/counts", "", "")
+	var counts platformstandin.Counts
+	is.NoErr(json.Unmarshal([]byte(body), &counts))
+	is.Equal(counts, platformstandin.Counts{Reads: 3, Writes: 1, Applied: 1, Dropped: 1, LostAnswers: 1})
+	call(t, c, "POST", root+"/reset", "", "")
+	status, _, _ = call(t, c, "GET", root+"/v1/objects/a", "", "")
+	is.Equal(status, 404)
+}
+
+func TestLagAndLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var server platformstandin.Server
+		c, root := server.HTTPClient(), "http://platform.test/v1/objects"
+		call(t, c, "PUT", root+"/hosts/a?lease=30s", "", "old")
+		time.Sleep(10 * time.Second)
+		call(t, c, "PUT", root+"/hosts/a?lease=30s", "", "new")
+		server.SetFaults(platformstandin.Faults{ListLag: 5 * time.Second})
+		_, _, body := call(t, c, "GET", root+"?prefix=hosts/", "", "")
+		is.True(strings.Contains(body, "b2xk")) // the list shows "old"
+		_, _, body = call(t, c, "GET", root+"/hosts/a", "", "")
+		is.Equal(body, "new")
+		server.SetFaults(platformstandin.Faults{Lag: 5 * time.Second})
+		_, _, body = call(t, c, "GET", root+"/hosts/a", "", "")
+		is.Equal(body, "old")
+		start := time.Now()
+		status, _, _ := call(t, c, "GET", root+"/hosts/a?after=1&wait=20s", "", "")
+		is.Equal(status, 200)
+		is.Equal(time.Since(start), 5*time.Second) // the watch lags too
+		time.Sleep(25 * time.Second)
+		status, _, _ = call(t, c, "GET", root+"/hosts/a", "", "")
+		is.Equal(status, 404) // the lease has ended
+	})
+}
