--- a/command/command.go
+++ b/command/command.go
@@ -46,6 +46,9 @@
 		&Drain{},
 		&Status{},
 		&Platform{},
+		&Serve{},
+		&Try{},
+		&Matrix{},
 	}
 }
 
