--- a/settings/check.go
+++ b/settings/check.go
@@ -14,6 +14,7 @@
 // Limits of what the settings may hold.
 const (
 	MinKeyDigits       = 32
+	MaxPort            = 65_535
 	MinPlatformTimeout = 10 * time.Millisecond
 	MaxPlatformTimeout = time.Minute
 	MinHeartbeat       = 50 * time.Millisecond
@@ -62,6 +63,7 @@
 }
 
 func (c *checker) checkListen(l Listen) {
+	c.require("listen.answer_port", declaration.RangeFault(l.AnswerPort, 1, MaxPort))
 	type listener struct {
 		key, protocol string
 		address       netip.AddrPort
