replay: run recorded traces against their stated outcomes

Cause: decisions have to be shown by traces that anyone can read and repeat.

Change: a trace format of JSON lines with the events of one host and what it should decide; Read, Run, State and a Recorder; the replay command; a first trace of a host alone (drain, data centre out, a key used twice).

Conclusion: events of every kind and every message of the control state read back and replay; the command is not in command.All yet.

--- /dev/null
+++ b/replay/record.go
@@ -0,0 +1,144 @@
+package replay
+
+import (
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/rattanthread/rattanthread/control"
+	"github.com/rattanthread/rattanthread/fleet"
+)
+
+// Recorder writes the events of one host as a trace, without outcomes: State
+// adds them. Its Record method fits host.Host's Record. It is safe for
+// concurrent use.
+type Recorder struct {
+	Header Header
+	Out    io.Writer
+	// MaxEvents bounds the trace; zero means no bound.
+	MaxEvents int
+
+	mu     sync.Mutex
+	events int
+	err    error
+}
+
+// Record writes one event. After an error it writes nothing more.
+func (r *Recorder) Record(now time.Time, event control.Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.err != nil || (r.MaxEvents > 0 && r.events >= r.MaxEvents) {
+		return
+	}
+	if r.events == 0 {
+		r.err = r.writeHeader(now)
+	}
+	r.events++
+	if r.err == nil {
+		r.err = r.write(now, event)
+	}
+}
+
+// Err returns the first error.
+func (r *Recorder) Err() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.err
+}
+
+func (r *Recorder) writeHeader(now time.Time) error {
+	r.Header.Version = FormatVersion
+	if r.Header.Start.IsZero() {
+		r.Header.Start = now
+	}
+	return r.line(r.Header)
+}
+
+func (r *Recorder) line(value any) error {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return errors.Wrap(err, "encode trace")
+	}
+	if _, err := r.Out.Write(append(data, '\n')); err != nil {
+		return errors.Wrap(err, "write trace")
+	}
+	return nil
+}
+
+func (r *Recorder) write(now time.Time, event control.Event) error {
+	line, err := r.eventOf(now, event)
+	if err != nil {
+		return err
+	}
+	return r.line(line)
+}
+
+func (r *Recorder) eventOf(now time.Time, event control.Event) (Event, error) {
+	line := Event{At: Duration(now.Sub(r.Header.Start)), Kind: event.EventKind()}
+	var err error
+	switch e := event.(type) {
+	case *control.MessageReceived:
+		line.From, line.Message = e.From, e.Message.Kind()
+		line.Body, err = encode(e.Message)
+	case *control.RevisionRead:
+		line.Revised, err = encode(e.Revised)
+	case *control.PlatformAnswered:
+		line.Revision = e.Revision
+	case *control.HostsRead:
+		line.Hosts = traceHosts(e.Hosts)
+	case *control.EvidenceSeen:
+		line.Evidence = &Evidence{
+			Server:   e.Evidence.Server,
+			Kind:     e.Evidence.Kind,
+			Latency:  Duration(e.Evidence.Latency),
+			Healthy:  e.Evidence.Healthy,
+			Instance: e.Evidence.Instance,
+			Made:     Duration(e.Evidence.At.Sub(r.Header.Start)),
+		}
+	case *control.ClaimAsked:
+		line.Claim = &Claim{
+			Key:      e.Claim.Key.String(),
+			Service:  e.Claim.Service,
+			Body:     hex.EncodeToString(e.Claim.Body[:]),
+			Deadline: Duration(e.Claim.Deadline.Sub(now)),
+		}
+	case *control.ClaimEnded:
+		line.Attempt = e.Attempt.Number
+		line.Result, err = encode(e.Result)
+	case *control.ClaimCancelled:
+		line.Attempt = e.Attempt.Number
+	}
+	return line, err
+}
+
+func traceHosts(hosts []fleet.Host) []Host {
+	var all []Host
+	for _, h := range hosts {
+		all = append(all, Host{
+			ID:          h.ID,
+			DataCentre:  h.DataCentre,
+			Incarnation: h.Incarnation,
+			Peer:        h.PeerAddress,
+			Handoff:     h.HandoffAddress,
+		})
+	}
+	return all
+}
+
+// Write writes a trace with its stated outcomes.
+func Write(out io.Writer, t Trace) error {
+	r := &Recorder{Out: out}
+	if err := r.line(t.Header); err != nil {
+		return err
+	}
+	for _, event := range t.Events {
+		if err := r.line(event); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/replay/replay_test.go
@@ -0,0 +1,132 @@
+package replay_test
+
+import (
+	"bytes"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+
+	"github.com/rattanthread/rattanthread/backend"
+	"github.com/rattanthread/rattanthread/config"
+	"github.com/rattanthread/rattanthread/control"
+	"github.com/rattanthread/rattanthread/fleet"
+	"github.com/rattanthread/rattanthread/replay"
+	"github.com/rattanthread/rattanthread/request"
+)
+
+const aloneFile = "testdata/alone.jsonl"
+
+func TestTraceIsAsStated(t *testing.T) {
+	is := is.New(t)
+	trace, err := replay.Load(aloneFile)
+	is.NoErr(err)
+	is.NoErr(replay.Run(trace))
+}
+
+// TestFirstDifferenceIsNamed changes one stated outcome at a time.
+func TestFirstDifferenceIsNamed(t *testing.T) {
+	data, err := os.ReadFile(aloneFile)
+	is.New(t).NoErr(err)
+	tests := []struct {
+		name, old, changed, want string
+	}{
+		{"decision", `"server":"hints-2"`, `"server":"hints-9"`, "event packet at 13.5s: decision: want"},
+		{"ready", `"ready":false`, `"ready":true`, "event platform_answered at 0s: ready: want true, have false"},
+		{"revision", `"revision":2}`, `"revision":9}`, "event revision at 7s: revision: want 9, have 2"},
+		{"verdict", `"decision":"replay"`, `"decision":"run"`, "event claim at 25.2s: verdicts: want"},
+		{"sends", `"sends":[]`, `"sends":[{"to":"a2","message":"x"}]`, "event platform_answered at 0s: sends: want"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			changed := strings.Replace(string(data), tt.old, tt.changed, 1)
+			is.True(changed != string(data))
+			trace, err := replay.Read("changed.jsonl", strings.NewReader(changed))
+			is.NoErr(err)
+			err = replay.Run(trace)
+			var difference *replay.Difference
+			is.True(errors.As(err, &difference))
+			is.True(strings.Contains(err.Error(), tt.want))
+			is.True(strings.HasPrefix(err.Error(), "changed.jsonl:"))
+		})
+	}
+}
+
+func TestMalformedTraces(t *testing.T) {
+	const header = `{"version":1,"start":"2026-01-01T00:00:00Z","self":{"id":"a1","data_centre":"tp1"}}` + "\n"
+	tests := []struct{ name, text, want string }{
+		{"empty", "\n// only a comment\n", "t:2: the trace is empty"},
+		{"version", `{"version":2}`, "t:1: version 2"},
+		{"no self", `{"version":1,"start":"2026-01-01T00:00:00Z"}`, "t:1: self needs"},
+		{"no start", `{"version":1,"self":{"id":"a","data_centre":"b"}}`, "t:1: start is missing"},
+		{"no JSON", header + "tick", "t:2: invalid character"},
+		{"two values", header + `{"at":"0s","event":"tick"} {}`, "t:2: more than one value"},
+		{"unknown field", header + `{"at":"0s","event":"tick","x":1}`, `t:2: unknown field "x"`},
+		{"unknown event", header + "\n" + `{"at":"0s","event":"tock"}`, `t:3: unknown event "tock"`},
+		{"bad time", header + `{"at":"soon","event":"tick"}`, `t:2: time: invalid duration "soon"`},
+		{"time goes back", header + `{"at":"1s","event":"tick","repeat":11,"every":"1s"}` + "\n" + `{"at":"10s","event":"tick"}`, "t:3: at 10s is before"},
+		{"repeated packet", header + `{"at":"0s","event":"stop","repeat":2}`, "t:2: only a tick can repeat"},
+		{"unknown message", header + `{"at":"0s","event":"message","from":"a2","message":"x"}`, `t:2: unknown message "x"`},
+		{"no sender", header + `{"at":"0s","event":"message","message":"membership_ping","body":{}}`, "t:2: event message needs from"},
+		{"unknown message field", header + `{"at":"0s","event":"message","from":"a2","message":"membership_ping","body":{"x":1}}`, "t:2: body: "},
+		{"no configuration", header + `{"at":"0s","event":"revision"}`, "t:2: event revision needs revised"},
+		{"bad key", header + `{"at":"0s","event":"claim","claim":{"key":"x"}}`, "t:2: parse key"},
+		{"bad packet", header + `{"at":"0s","event":"packet"}`, "t:2: event packet needs packet"},
+		{"bad flags", header + `{"at":"0s","event":"packet","packet":{"source":"1.1.1.1:1","destination":"1.1.1.1:1","protocol":"tcp","flags":"X"}}`, `t:2: flags "X"`},
+		{"decision of a tick", header + `{"at":"0s","event":"tick","expect":{"decision":{}}}`, "t:2: a packet, and only a packet"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := replay.Read("t", strings.NewReader(tt.text))
+			var problem *replay.Problem
+			is.True(errors.As(err, &problem))
+			is.True(strings.HasPrefix(err.Error(), tt.want))
+		})
+	}
+}
+
+// TestRecordedEventsReplay records one event of each kind and every message,
+// reads them back and runs them.
+func TestRecordedEventsReplay(t *testing.T) {
+	is := is.New(t)
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	var out bytes.Buffer
+	recorder := &replay.Recorder{Out: &out, Header: replay.Header{Self: replay.Host{ID: "a1", DataCentre: "tp1"}}}
+	key, err := request.ParseKey("tp1/019b76da-9e44-7000-8000-000000000001")
+	is.NoErr(err)
+	events := []control.Event{
+		&control.Tick{},
+		&control.PlatformAnswered{Revision: 3},
+		&control.HostsRead{Hosts: []fleet.Host{{ID: "a2", DataCentre: "tp1", Incarnation: 7}}},
+		&control.RevisionRead{Revised: config.Revised{History: "h1", Revision: 3, Published: start}},
+		&control.EvidenceSeen{Evidence: backend.Evidence{Server: "s1", Kind: backend.EvidenceReport, At: start}},
+		&control.ClaimAsked{Claim: request.ClaimRequest{Key: key, Deadline: start.Add(time.Minute)}},
+		&control.ClaimEnded{Result: request.Result{Outcome: request.Answered, Answer: request.Answer{Body: []byte("x")}}},
+		&control.ClaimCancelled{},
+		&control.StopRequested{},
+	}
+	for _, message := range control.Messages() {
+		events = append(events, &control.MessageReceived{From: "a2", Message: message})
+	}
+	for i, event := range events {
+		recorder.Record(start.Add(time.Duration(i)*time.Millisecond), event)
+	}
+	is.NoErr(recorder.Err())
+	trace, err := replay.Read("recorded", &out)
+	is.NoErr(err)
+	is.Equal(len(trace.Events), len(events))
+	stated, err := replay.State(trace)
+	is.NoErr(err)
+	is.NoErr(replay.Run(stated))
+
+	var written bytes.Buffer
+	is.NoErr(replay.Write(&written, stated))
+	again, err := replay.Read("written", &written)
+	is.NoErr(err)
+	is.NoErr(replay.Run(again)) // two runs decide the same
+}
