trial: report resets by servers and the entry hosts' counters

Cause: a broken flow did not tell whether a server or an entry host ended it.

Change: the flow table counts packets of unknown flows at servers; the JSON report adds up the counters of all entry hosts.

Conclusion: enough to tell a lost placement from a reset by an entry host.

--- a/trial/report.go
+++ b/trial/report.go
@@ -25,6 +25,9 @@
 	ControlBytes []ControlRow     `json:"control_bytes"`
 	ColdServers  []ColdRow        `json:"cold_servers"`
 	Publications []PublicationRow `json:"publications"`
+	// HostCounters are the counters of all entry hosts at the end, added up.
+	// Those of hosts that were stopped or killed are lost.
+	HostCounters map[string]uint64 `json:"host_counters"`
 }
 
 // Fault is something that must never happen and did.
@@ -115,8 +118,11 @@
 	Messages    uint64            `json:"messages"`
 	Resent      uint64            `json:"resent"`
 	Broken      uint64            `json:"broken"`
-	Median      Milliseconds      `json:"median_ms"`
-	P99         Milliseconds      `json:"p99_ms"`
+	// ServerResets is how often a backend server got a packet of a flow that it
+	// did not know.
+	ServerResets uint64       `json:"server_resets"`
+	Median       Milliseconds `json:"median_ms"`
+	P99          Milliseconds `json:"p99_ms"`
 }
 
 // RequestRow is what callers saw of the requests of a service.
--- a/trial/summary.go
+++ b/trial/summary.go
@@ -30,6 +30,7 @@
 		ControlBytes: w.controlRows(),
 		ColdServers:  w.coldRows(),
 		Publications: w.evidence.Publications,
+		HostCounters: w.watch.counters(),
 		Faults:       Judge(&w.evidence),
 	}
 	w.mu.Lock()
@@ -81,6 +82,11 @@
 		row.Broken += uint64(len(report.Breaks))
 		c.AddLatency(latencies[c.Service])
 	}
+	for id, counts := range w.evidence.FlowServers {
+		if row := rows[w.flowServers[id].Service]; row != nil {
+			row.ServerResets += counts.UnknownFlow
+		}
+	}
 	var sorted []FlowRow
 	for _, service := range slices.Sorted(maps.Keys(rows)) {
 		row := rows[service]
--- a/trial/table.go
+++ b/trial/table.go
@@ -46,10 +46,10 @@
 }
 
 func (r Report) writeFlows(t *table) {
-	t.line("\nflows\topened\tnot opened\testablished\tmessages\tresent\tbroken\tmedian ms\tp99 ms")
+	t.line("\nflows\topened\tnot opened\testablished\tmessages\tresent\tbroken\tserver resets\tmedian ms\tp99 ms")
 	for _, f := range r.Flows {
-		t.line("%s\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f", f.Service, f.Opened, f.NotOpened, f.Established,
-			f.Messages, f.Resent, f.Broken, float64(f.Median), float64(f.P99))
+		t.line("%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f", f.Service, f.Opened, f.NotOpened, f.Established,
+			f.Messages, f.Resent, f.Broken, f.ServerResets, float64(f.Median), float64(f.P99))
 	}
 	t.line("\nbroken flows\tphase\tcause\tcount\texcuse")
 	for _, b := range r.BrokenFlows {
--- a/trial/watch.go
+++ b/trial/watch.go
@@ -126,6 +126,21 @@
 	return value, ok
 }
 
+// counters adds up the counters of all hosts.
+func (w *Watch) counters() map[string]uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	total := make(map[string]uint64)
+	for _, host := range w.seen {
+		for name, value := range host.Counters {
+			if value > 0 {
+				total[name] += value
+			}
+		}
+	}
+	return total
+}
+
 // watchStatus asks all running hosts for their status, over and over.
 func (w *world) watchStatus(ctx context.Context) {
 	client := &http.Client{Timeout: statusTimeout}
