trial: read the bytes sent to peers from the hosts' counters

Cause: control bytes were not measured; the counter now has a name.

Change: the control rows add up rattanthread_peer_bytes_total with direction=out.

Conclusion: by the hosts' own count only.

--- a/trial/report.go
+++ b/trial/report.go
@@ -172,8 +172,9 @@
 	FlowsBroken  uint64 `json:"flows_broken"`
 }
 
-// ControlRow is what an entry host sent to its peers and the platform, between
-// the end of the warm-up and the end of the trial, by its own count.
+// ControlRow is what an entry host sent to its peers, between the end of the
+// warm-up and the end of the trial, by its own count. Hosts that were replaced
+// meanwhile are left out.
 type ControlRow struct {
 	Host           fleet.HostID `json:"host"`
 	BytesPerSecond float64      `json:"bytes_per_second"`
--- a/trial/samples.go
+++ b/trial/samples.go
@@ -32,9 +32,11 @@
 	messages, opened, broken uint64
 }
 
-// controlBytesCounter is the counter of /status that holds what a host sent to
-// peers and to the platform.
-const controlBytesCounter = "control_bytes_sent"
+// The counters of /status that hold what a host sent to its peers.
+const (
+	peerBytesCounter = "rattanthread_peer_bytes_total,"
+	sentLabel        = "direction=out"
+)
 
 // sample notes the flow callers' counts at the end of each second and writes
 // the progress line.
@@ -111,7 +113,7 @@
 	sent := make(map[fleet.HostID]hostSent)
 	now := time.Now()
 	for _, p := range w.processes {
-		if bytes, ok := w.watch.counter(p.settings.Host, controlBytesCounter); ok {
+		if bytes, ok := w.watch.sentBytes(p.settings.Host); ok {
 			sent[p.settings.Host] = hostSent{now, bytes}
 		}
 	}
--- a/trial/watch.go
+++ b/trial/watch.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -119,11 +120,19 @@
 	return seen.Reason
 }
 
-func (w *Watch) counter(host fleet.HostID, name string) (uint64, bool) {
+// sentBytes is what a host says that it sent to its peers.
+func (w *Watch) sentBytes(host fleet.HostID) (uint64, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	value, ok := w.seen[host].Counters[name]
-	return value, ok
+	var total uint64
+	found := false
+	for name, value := range w.seen[host].Counters {
+		if strings.HasPrefix(name, peerBytesCounter) && strings.Contains(name, sentLabel) {
+			total += value
+			found = true
+		}
+	}
+	return total, found
 }
 
 // counters adds up the counters of all hosts.
