flow: Look for unknown slots only when ownership changed

Change: a flag set where a slot's owner or authority changes, and a full look once in 16 ticks; a retired split is published by the next tick.

--- a/flow/fetch.go
+++ b/flow/fetch.go
@@ -42,9 +42,10 @@
 // startFetches asks all peers for the flows of the slots that this host owns and
 // does not know.
 func (r *Router) startFetches(now time.Time) []fleet.Send {
-	if !r.ready {
+	if !r.ready || !r.seek {
 		return nil
 	}
+	r.seek = false
 	var services []ServiceSlots
 	for _, s := range r.services {
 		if slots := r.unknownSlots(s, r.fetchID+1); len(slots) > 0 {
@@ -241,6 +242,7 @@
 		if state := s.splits[slot]; state != nil && r.ready {
 			if state.live.release() != authorityNone {
 				state.released = id
+				r.seek = true
 			}
 			if state.released == id {
 				held = append(held, slot)
--- a/flow/router.go
+++ b/flow/router.go
@@ -79,6 +79,8 @@
 	sync     syncState
 	fetches  map[uint64]*fetch
 	fetchID  uint64
+	// seek is true when this host may own slots whose flows it does not know.
+	seek bool
 	copier   copier
 	sweepAt  int
 }
@@ -144,6 +146,7 @@
 		r.assignOwners()
 	}
 	sends = append(sends, r.repeatFetches(now)...)
+	r.seek = r.seek || r.sweepAt == 0
 	sends = append(sends, r.startFetches(now)...)
 	sends = append(sends, r.sweep(now)...)
 	sends = append(sends, r.copy(now)...)
@@ -171,7 +174,9 @@
 	case *Records:
 		r.receiveRecords(now, from, m)
 	case *Retire:
+		// The next Tick publishes it: until then packets take one more hop.
 		r.receiveRetire(m)
+		return nil
 	case *Leave:
 		r.leaving[from] = now
 		delete(r.alive, from)
--- a/flow/service.go
+++ b/flow/service.go
@@ -319,6 +319,7 @@
 	if owner != r.view.Self {
 		state.fetch = 0
 	}
+	r.seek = true
 }
 
 // settle lets the owner of each slot place new flows on its target: every live
