door: Test bad input, failing servers, retries and draining

Cause: the tests of the door showed two faults. A caller that sent its body slowly was not answered, as net/http then waited for the rest; and an empty body went to servers in chunks, which kept a server that does not read the body from noticing a cancellation. Change: the read deadline stays after a failed body and the connection closes; an empty body is sent with length 0, and the key header is spelt so that net/http does not repeat the request by itself.

--- a/door/door.go
+++ b/door/door.go
@@ -232,7 +232,12 @@
 	control := http.NewResponseController(x.w)
 	_ = control.SetReadDeadline(limit)
 	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, x.maxBody()))
-	_ = control.SetReadDeadline(time.Time{})
+	if err != nil {
+		// The rest of the body is not waited for.
+		x.w.Header().Set("Connection", "close")
+	} else {
+		_ = control.SetReadDeadline(time.Time{})
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
--- /dev/null
+++ b/door/door_test.go
@@ -0,0 +1,436 @@
+package door_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+
+	"github.com/rattanthread/rattanthread/backend"
+	"github.com/rattanthread/rattanthread/config"
+	"github.com/rattanthread/rattanthread/door"
+	"github.com/rattanthread/rattanthread/fleet"
+	"github.com/rattanthread/rattanthread/request"
+)
+
+// keeper runs request.Keys of a single host behind the seams of a Door.
+type keeper struct {
+	mu   sync.Mutex
+	keys request.Keys
+}
+
+func newKeeper() *keeper {
+	k := &keeper{}
+	start := time.Now().Add(-time.Minute)
+	view := request.View{
+		Self:       "a1",
+		DataCentre: "a",
+		Hosts:      []fleet.Host{{ID: "a1", DataCentre: "a", Incarnation: 1}},
+		Centres:    []config.DataCentre{{Name: "a"}},
+		Confirmed:  true,
+	}
+	k.keys.Install(start, view)
+	for at := start; at.Before(time.Now().Add(time.Minute)); at = at.Add(500 * time.Millisecond) {
+		k.keys.Tick(at)
+	}
+	return k
+}
+
+func (k *keeper) claim(_ context.Context, r request.ClaimRequest) (request.Verdict, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	_, e := k.keys.Claim(time.Now(), r)
+	return e.Verdicts[0], nil
+}
+
+func (k *keeper) report(id request.AttemptID, r request.Result) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.keys.Report(time.Now(), id, r)
+}
+
+// site is a Door with its backend servers.
+type site struct {
+	*door.Door
+	url     string
+	ran     atomic.Int64
+	metrics *prometheus.Registry
+}
+
+var limits = config.RequestLimits{Timeout: 2 * time.Second, MaxBodyBytes: 1000, RetryRatio: 1}
+
+// newSite serves service "orders" at host "orders.test" by the given servers.
+func newSite(t *testing.T, handlers ...http.HandlerFunc) *site {
+	s := &site{metrics: prometheus.NewRegistry()}
+	service := &door.Service{Name: "orders", Limits: limits}
+	for i, h := range handlers {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			s.ran.Add(1)
+			h(w, r)
+		}))
+		t.Cleanup(server.Close)
+		service.Servers = append(service.Servers, newServer(i, server.Listener.Addr().String()))
+	}
+	keys := newKeeper()
+	s.Door = &door.Door{
+		Snapshot: func() *door.Snapshot {
+			return &door.Snapshot{Services: map[string]*door.Service{"orders.test": service}}
+		},
+		Claim:  keys.claim,
+		Report: keys.report,
+		Sleep:  func(context.Context, time.Duration) error { return nil },
+		// Candidates are tried in the order of the servers.
+		IntN: func(int) int { return 0 },
+	}
+	if err := s.Register(s.metrics); err != nil {
+		t.Fatal(err)
+	}
+	front := httptest.NewServer(s.Door)
+	t.Cleanup(front.Close)
+	s.url = front.URL
+	return s
+}
+
+func newServer(i int, address string) door.Server {
+	return door.Server{
+		Candidate: backend.Candidate{Server: fleet.ServerID(fmt.Sprintf("s%d", i)), Weight: 100, Slots: 2},
+		Address:   netip.MustParseAddrPort(address),
+		Admission: backend.AdmitFreely,
+	}
+}
+
+// reply is an answer as the caller sees it.
+type reply struct {
+	status                   int
+	outcome, reason, earlier string
+	header                   http.Header
+	body                     string
+	err                      error
+}
+
+func (s *site) call(ctx context.Context, method, body string, headers ...string) reply {
+	return s.send(ctx, method, strings.NewReader(body), headers...)
+}
+
+func (s *site) send(ctx context.Context, method string, body io.Reader, headers ...string) reply {
+	r, _ := http.NewRequestWithContext(ctx, method, s.url+"/cut?list=1", body)
+	r.Host = "orders.test"
+	for i := 0; i < len(headers); i += 2 {
+		if headers[i] == "Host" {
+			r.Host = headers[i+1]
+		}
+		r.Header.Add(headers[i], headers[i+1])
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	h := resp.Header
+	return reply{resp.StatusCode, h.Get(door.HeaderOutcome), h.Get(door.HeaderReason), h.Get(door.HeaderEarlier), h, string(text), err}
+}
+
+func newKey() string { return uuid.Must(uuid.NewV7()).String() }
+
+func keyAt(at time.Time) string {
+	id := uuid.Must(uuid.NewV7())
+	for i := range 6 {
+		id[i] = byte(at.UnixMilli() >> (40 - 8*i))
+	}
+	return id.String()
+}
+
+func answer(text string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, text) }
+}
+
+// raw answers with the given bytes and closes the connection.
+func raw(text string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		c, _, _ := http.NewResponseController(w).Hijack()
+		_, _ = io.WriteString(c, text)
+		_ = c.Close()
+	}
+}
+
+func shed(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(door.HeaderOutcome, "refused")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+var refusedAddress = func() string {
+	l, _ := net.Listen("tcp", "127.0.0.1:0")
+	defer l.Close()
+	return l.Addr().String()
+}()
+
+func TestBadInputRunsNothing(t *testing.T) {
+	long := strings.Repeat("x", 1001)
+	key := newKey()
+	cases := []struct {
+		name, method, body string
+		headers            []string
+		status             int
+		outcome, reason    string
+	}{
+		{"no key", "POST", "a", nil, 400, "refused", "key_missing"},
+		{"key of words", "POST", "a", []string{"Idempotency-Key", "abc"}, 400, "refused", "key_malformed"},
+		{"key of version 4", "POST", "a", []string{"Idempotency-Key", uuid.NewString()}, 400, "refused", "key_malformed"},
+		{"two keys", "POST", "a", []string{"Idempotency-Key", key, "Idempotency-Key", key}, 400, "refused", "key_malformed"},
+		{"expired key", "POST", "a", []string{"Idempotency-Key", keyAt(time.Now().Add(-time.Hour))}, 400, "unknown", "key_expired"},
+		{"key from the future", "POST", "a", []string{"Idempotency-Key", keyAt(time.Now().Add(time.Hour))}, 400, "refused", "key_from_future"},
+		{"key on an idempotent method", "PUT", "a", []string{"Idempotency-Key", "abc"}, 400, "refused", "key_malformed"},
+		{"long body", "PUT", long, nil, 413, "refused", "body_too_large"},
+		{"deadline in the past", "GET", "", []string{"Request-Timeout", "-1"}, 504, "refused", "deadline_exceeded"},
+		{"no deadline", "GET", "", []string{"Request-Timeout", "0"}, 504, "refused", "deadline_exceeded"},
+		{"deadline of words", "GET", "", []string{"Request-Timeout", "soon"}, 400, "refused", "timeout_invalid"},
+		{"deadline not a number", "GET", "", []string{"Request-Timeout", "NaN"}, 400, "refused", "timeout_invalid"},
+		{"long headers", "GET", "", []string{"X-Long", strings.Repeat("x", 40<<10)}, 431, "refused", "headers_too_large"},
+		{"unknown host", "GET", "", []string{"Host", "else.test"}, 404, "refused", "unknown_service"},
+		{"trace", "TRACE", "", nil, 501, "refused", "method_not_supported"},
+	}
+	s := newSite(t, answer("ok"))
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			r := s.call(t.Context(), c.method, c.body, c.headers...)
+			is.NoErr(r.err)
+			is.Equal(r.status, c.status)
+			is.Equal(r.outcome, c.outcome)
+			is.Equal(r.reason, c.reason)
+			is.Equal(s.ran.Load(), int64(0))
+		})
+	}
+	t.Run("long body without length", func(t *testing.T) {
+		is := is.New(t)
+		r := s.send(t.Context(), "PUT", io.MultiReader(strings.NewReader(long)))
+		is.Equal(r.reason, "body_too_large")
+		is.Equal(s.ran.Load(), int64(0))
+	})
+	is := is.New(t)
+	got, err := testutil.GatherAndCount(s.metrics, "rattanthread_request_requests_total")
+	is.NoErr(err)
+	reasons := make(map[string]bool)
+	for _, c := range cases {
+		reasons[c.reason] = true
+	}
+	is.Equal(got, len(reasons)) // each reason is counted
+}
+
+func TestSlowSenderRunsNothing(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, answer("ok"))
+	c, err := net.Dial("tcp", strings.TrimPrefix(s.url, "http://"))
+	is.NoErr(err)
+	defer c.Close()
+	_, _ = io.WriteString(c, "PUT / HTTP/1.1\r\nHost: orders.test\r\nRequest-Timeout: 0.1\r\nContent-Length: 9\r\n\r\nabc")
+	text, _ := io.ReadAll(c)
+	is.True(strings.HasPrefix(string(text), "HTTP/1.1 408 "))
+	is.True(strings.Contains(string(text), "Request-Reason: body_slow"))
+	is.Equal(s.ran.Load(), int64(0))
+}
+
+func TestKeyRunsOnce(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, answer("order 7"))
+	key := newKey()
+	first := s.call(t.Context(), "POST", "strap iron", "Idempotency-Key", key)
+	is.Equal(first.outcome, "answered")
+	is.Equal(first.body, "order 7")
+	again := s.call(t.Context(), "POST", "strap iron", "Idempotency-Key", key)
+	is.Equal(again.body, "order 7")
+	is.Equal(again.header.Get(door.HeaderReplayed), "true")
+	other := s.call(t.Context(), "POST", "other", "Idempotency-Key", key)
+	is.Equal(other.status, 422)
+	is.Equal(other.reason, "key_reused")
+	is.Equal(s.ran.Load(), int64(1))
+}
+
+func TestLongAnswerIsNotReplayed(t *testing.T) {
+	is := is.New(t)
+	text := strings.Repeat("x", request.DefaultKeptBody+1)
+	s := newSite(t, answer(text))
+	key := newKey()
+	is.Equal(s.call(t.Context(), "POST", "a", "Idempotency-Key", key).body, text)
+	again := s.call(t.Context(), "POST", "a", "Idempotency-Key", key)
+	is.Equal(again.status, http.StatusGone)
+	is.Equal(again.outcome, "answered")
+	is.Equal(again.reason, "body_not_kept")
+	is.Equal(s.ran.Load(), int64(1))
+}
+
+// TestFailures covers what servers do wrong: when a request is tried again, and
+// what the caller is told. The second server always answers.
+func TestFailures(t *testing.T) {
+	cut := "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort"
+	cases := []struct {
+		name            string
+		first           http.HandlerFunc // nil refuses connections
+		outcomeKeyed    string
+		reasonKeyed     string
+		outcomeUnkeyed  string
+		servedByAnother bool
+	}{
+		{"connection refused", nil, "answered", "", "answered", true},
+		{"server sheds", shed, "answered", "", "answered", true},
+		{"server fails", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(503) }, "answered", "", "answered", false},
+		{"answer cut", raw(cut), "unknown", "answer_cut", "answered", true},
+		{"chunk cut", raw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nsho"), "unknown", "answer_cut", "answered", true},
+		{"no length", raw("HTTP/1.1 200 OK\r\n\r\nshort"), "unknown", "answer_without_length", "answered", true},
+		{"no answer", raw(""), "unknown", "no_answer", "answered", true},
+		{"not HTTP", raw("nonsense\r\n\r\n"), "unknown", "no_answer", "answered", true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			first := c.first
+			if first == nil {
+				first = answer("never reached")
+			}
+			s := newSite(t, first, answer("whole"))
+			if c.first == nil {
+				s.Snapshot().Services["orders.test"].Servers[0].Address = netip.MustParseAddrPort(refusedAddress)
+			}
+			keyed := s.call(t.Context(), "POST", "a", "Idempotency-Key", newKey())
+			is.Equal(keyed.outcome, c.outcomeKeyed)
+			is.Equal(keyed.reason, c.reasonKeyed)
+			unkeyed := s.call(t.Context(), "GET", "")
+			is.Equal(unkeyed.outcome, c.outcomeUnkeyed)
+			is.Equal(unkeyed.body == "whole", c.servedByAnother)
+		})
+	}
+}
+
+// TestReusedConnection breaks a kept connection after a second request with a
+// key was read from it. net/http would send such a request again by itself.
+func TestReusedConnection(t *testing.T) {
+	is := is.New(t)
+	var served atomic.Int64
+	s := newSite(t, func(w http.ResponseWriter, r *http.Request) {
+		if served.Add(1) > 1 {
+			raw("")(w, r)
+		}
+	})
+	is.Equal(s.call(t.Context(), "POST", "", "Idempotency-Key", newKey()).outcome, "answered")
+	is.Equal(s.call(t.Context(), "POST", "", "Idempotency-Key", newKey()).outcome, "unknown")
+	is.Equal(s.ran.Load(), int64(2))
+}
+
+func TestLongAnswerCutAbortsConnection(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, raw("HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n"+strings.Repeat("x", 4000)))
+	s.MaxBuffer = 1000
+	key := newKey()
+	r := s.call(t.Context(), "POST", "a", "Idempotency-Key", key)
+	is.True(r.err != nil) // the caller sees the cut
+	r = s.call(t.Context(), "POST", "a", "Idempotency-Key", key)
+	is.Equal(r.outcome, "unknown")
+	is.Equal(s.ran.Load(), int64(1))
+}
+
+func TestCancellationReachesServer(t *testing.T) {
+	is := is.New(t)
+	started, cancelled := make(chan struct{}), make(chan struct{})
+	s := newSite(t, func(_ http.ResponseWriter, r *http.Request) {
+		close(started)
+		<-r.Context().Done()
+		close(cancelled)
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-started
+		cancel()
+	}()
+	is.True(s.call(ctx, "POST", "", "Idempotency-Key", newKey()).err != nil)
+	<-cancelled
+}
+
+func TestDeadlineIsPassedOnAndKept(t *testing.T) {
+	is := is.New(t)
+	passed := make(chan string, 1)
+	s := newSite(t, func(_ http.ResponseWriter, r *http.Request) {
+		passed <- r.Header.Get(door.HeaderTimeout)
+		<-r.Context().Done()
+	})
+	r := s.call(t.Context(), "POST", "", "Idempotency-Key", newKey(), "Request-Timeout", "0.1")
+	is.Equal(r.status, 504)
+	is.Equal(r.outcome, "unknown")
+	is.True(<-passed <= "0.100")
+}
+
+func TestLateVerdictIsNotUsed(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, answer("ok"))
+	var reported request.Result
+	s.Claim = func(context.Context, request.ClaimRequest) (request.Verdict, error) {
+		return request.Verdict{Decision: request.DecisionRun, ValidUntil: time.Now().Add(-time.Second)}, nil
+	}
+	s.Report = func(_ request.AttemptID, r request.Result) { reported = r }
+	r := s.call(t.Context(), "POST", "", "Idempotency-Key", newKey())
+	is.Equal(r.reason, "verdict_late")
+	is.Equal(r.earlier, "none")
+	is.Equal(reported.Outcome, request.Refused)
+	is.Equal(s.ran.Load(), int64(0))
+}
+
+func TestColdServerGetsNoWorkWithoutCredit(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, answer("ok"))
+	s.Snapshot().Services["orders.test"].Servers[0].Admission = backend.AdmitByCredit
+	r := s.call(t.Context(), "GET", "")
+	is.Equal(r.reason, "no_server")
+	is.Equal(r.header.Get("Retry-After"), "1")
+	is.Equal(s.ran.Load(), int64(0))
+}
+
+func TestDrainCutsNoRequest(t *testing.T) {
+	is := is.New(t)
+	started, release := make(chan struct{}), make(chan struct{})
+	s := newSite(t, func(w http.ResponseWriter, _ *http.Request) {
+		close(started)
+		<-release
+		_, _ = io.WriteString(w, "done")
+	})
+	running := make(chan reply)
+	go func() { running <- s.call(t.Context(), "GET", "") }()
+	<-started
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	is.True(s.Drain(ended) != nil) // still running
+	r := s.call(t.Context(), "GET", "")
+	is.Equal(r.status, 503)
+	is.Equal(r.reason, "stopping")
+	close(release)
+	is.NoErr(s.Drain(t.Context()))
+	is.Equal((<-running).body, "done")
+}
+
+// TestNoRetryStorm sheds all requests at all servers.
+func TestNoRetryStorm(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, shed, shed, shed)
+	s.Snapshot().Services["orders.test"].Limits.RetryRatio = 0
+	const requests = 500
+	for range requests {
+		r := s.call(t.Context(), "GET", "")
+		is.Equal(r.outcome, "refused")
+		is.Equal(r.reason, "server_shed")
+	}
+	amplification := float64(s.ran.Load()) / requests
+	t.Logf("amplification %.3f", amplification)
+	is.True(amplification <= 1.1)
+}
--- a/door/try.go
+++ b/door/try.go
@@ -8,6 +8,7 @@
 	"net/http/httptrace"
 	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -106,9 +107,9 @@
 	return x.readAnswer(resp)
 }
 
-// outgoing builds the request to a server. The body is not one that net/http
-// could send twice: it repeats requests with an Idempotency-Key on its own if
-// it can rewind the body, and that would run them twice.
+// outgoing builds the request to a server, so that net/http does not send it
+// twice on its own. It would do so for some methods, and for requests with an
+// Idempotency-Key in canonical spelling, if it can rewind the body.
 func (x *exchange) outgoing(ctx context.Context, s Server) *http.Request {
 	out := &http.Request{
 		Method:        x.r.Method,
@@ -121,6 +122,14 @@
 		ContentLength: int64(len(x.body)),
 		Body:          onceBody{bytes.NewReader(x.body)},
 	}
+	if len(x.body) == 0 && !lacksBody(out.Method) {
+		// An empty onceBody would be sent in chunks.
+		out.Body = http.NoBody
+	}
+	if x.keyed {
+		out.Header.Del(HeaderKey)
+		out.Header[strings.ToLower(HeaderKey)] = []string{x.key.String()}
+	}
 	if out.Header.Get("User-Agent") == "" {
 		// An empty value keeps net/http from adding its own.
 		out.Header["User-Agent"] = []string{""}
@@ -129,6 +138,10 @@
 	return out.WithContext(ctx)
 }
 
+func lacksBody(method string) bool {
+	return method == http.MethodGet || method == http.MethodHead || method == http.MethodOptions
+}
+
 // onceBody is a body that cannot be rewound.
 type onceBody struct{ io.Reader }
 
