--- a/backend/gossip.go
+++ b/backend/gossip.go
@@ -98,7 +98,7 @@
 func (s *server) adopt(r fleet.ServerRecord) {
 	s.record = r
 	if s.keeping != nil {
-		s.keeping.progress = 0
+		s.keeping.cool()
 	}
 }
 
--- a/backend/keeper.go
+++ b/backend/keeper.go
@@ -27,7 +27,7 @@
 	progress float64                    // 0 is cold, 1 is warm
 	grownAt  time.Time
 	served   map[fleet.HostID]uint64
-	recent   float64 // work served since grownAt
+	recent   float64 // work served that has not yet raised progress
 	doubts   map[fleet.HostID]time.Time
 }
 
@@ -163,7 +163,7 @@
 	r.Server, r.Phase = s.config.Name, phase
 	r.Sequence++
 	if phase != fleet.ServerWarming && phase != fleet.ServerWarm {
-		s.keeping.progress = 0
+		s.keeping.cool()
 	}
 	if phase == fleet.ServerSuspected {
 		s.detector.successes = 0
@@ -262,13 +262,24 @@
 // is slower.
 func (k *keeping) grow(now time.Time, s *server) {
 	warmup := warmupTime(s.config).Seconds()
+	needed := servedShare * k.rate(s) // work per second for the full pace
 	byTime := now.Sub(k.grownAt).Seconds() / warmup
-	byWork := k.recent / (servedShare * k.rate(s) * warmup)
-	k.grownAt, k.recent = now, 0
+	byWork := k.recent / (needed * warmup)
+	k.grownAt = now
 	if s.record.Phase != fleet.ServerCold && s.record.Phase != fleet.ServerWarming {
+		k.recent = 0
 		return
 	}
-	k.progress = min(1, k.progress+min(byTime, byWork))
+	step := min(byTime, byWork, 1-k.progress)
+	k.progress += step
+	// Reports of work come in bursts; at most one second of them is saved up.
+	k.recent = min(k.recent-step*needed*warmup, needed)
+}
+
+// cool starts the warm-up again. Work that was served before does not count.
+func (k *keeping) cool() {
+	k.progress, k.recent = 0, 0
+	clear(k.served)
 }
 
 // rate is the bound on new work per second over all hosts.
