--- a/backend/picker.go
+++ b/backend/picker.go
@@ -33,11 +33,14 @@
 	Slots int
 }
 
-// Picker chooses servers by the requests in flight from this host and by the
-// load they reported. It is safe for concurrent use; the zero value is ready.
+// Picker chooses servers by the requests in flight from this host. It is safe
+// for concurrent use; the zero value is ready.
 type Picker struct {
 	Policy Policy
-	loads  sync.Map // fleet.ServerID to *load
+	// Reports makes the load that servers reported count, too. Reports lag, and
+	// hosts that follow the same report choose the same server.
+	Reports bool
+	loads   sync.Map // fleet.ServerID to *load
 }
 
 // load is what a Picker knows of one server.
@@ -108,21 +111,23 @@
 	}
 }
 
-// pickAll starts at a random candidate, so that equals share the work.
+// pickAll takes one of the best at random.
 func (p *Picker) pickAll(now time.Time, candidates []Candidate, intn func(n int) int) int {
-	if len(candidates) == 0 {
-		return -1
-	}
-	start := intn(len(candidates))
-	best := -1
+	best, equals := -1, 0
 	var bestScore score
-	for i := range candidates {
-		at := (start + i) % len(candidates)
-		if candidates[at].Weight == 0 {
+	for i, c := range candidates {
+		if c.Weight == 0 {
 			continue
 		}
-		if s := p.score(now, candidates[at]); best < 0 || s.less(bestScore, false) {
-			best, bestScore = at, s
+		s := p.score(now, c)
+		switch {
+		case best < 0 || s.less(bestScore, false):
+			best, bestScore, equals = i, s, 1
+		case !bestScore.less(s, false):
+			equals++
+			if intn(equals) == 0 {
+				best = i
+			}
 		}
 	}
 	return best
@@ -179,7 +184,10 @@
 
 func (p *Picker) score(now time.Time, c Candidate) score {
 	l := p.load(c.Server)
-	work := l.work(now)
+	work := float64(l.inFlight.Load())
+	if p.Reports {
+		work = max(work, l.reportedWork(now))
+	}
 	return score{
 		full:    c.Slots > 0 && work >= float64(c.Slots),
 		work:    (work + 1) / float64(c.Weight),
@@ -187,14 +195,11 @@
 	}
 }
 
-// work is the host's own requests in flight, or the reported ones of all hosts
-// while the report is fresh and higher.
-func (l *load) work(now time.Time) float64 {
-	own := float64(l.inFlight.Load())
+// reportedWork is the reported load, fading out as the report ages.
+func (l *load) reportedWork(now time.Time) float64 {
 	age := now.Sub(time.Unix(0, l.reportedAt.Load()))
 	if age < 0 || age >= reportAge {
-		return own
+		return 0
 	}
-	fresh := 1 - float64(age)/float64(reportAge)
-	return max(own, fresh*float64(l.reported.Load()))
+	return (1 - float64(age)/float64(reportAge)) * float64(l.reported.Load())
 }
--- a/door/door_test.go
+++ b/door/door_test.go
@@ -73,7 +73,7 @@
 var limits = config.RequestLimits{Timeout: 2 * time.Second, MaxBodyBytes: 1000, RetryRatio: 1}
 
 // newSite serves service "orders" at host "orders.test" by the given servers.
-func newSite(t *testing.T, handlers ...http.HandlerFunc) *site {
+func newSite(t testing.TB, handlers ...http.HandlerFunc) *site {
 	s := &site{metrics: prometheus.NewRegistry()}
 	service := &door.Service{Name: "orders", Limits: limits}
 	for i, h := range handlers {
