--- a/backend/keeper.go
+++ b/backend/keeper.go
@@ -158,7 +158,7 @@
 	r.Server, r.Phase = s.config.Name, phase
 	r.Sequence++
 	if phase != fleet.ServerWarming && phase != fleet.ServerWarm {
-		s.keeping.progress = 0
+		s.keeping.cool()
 	}
 	if phase == fleet.ServerSuspected {
 		s.detector.successes = 0
@@ -266,6 +266,12 @@
 	}
 }
 
+// cool starts the warm-up again. Work that was served before does not count.
+func (k *keeping) cool() {
+	k.progress, k.load = 0, workload{}
+	clear(k.served)
+}
+
 // rate is the bound on new work per second over all hosts.
 func (k *keeping) rate(s *server) float64 {
 	return coldRate(s.config) * math.Pow(growthFactor, k.progress)
--- a/flow/router.go
+++ b/flow/router.go
@@ -80,9 +80,9 @@
 	fetches  map[uint64]*fetch
 	fetchID  uint64
 	// seek is true when this host may own slots whose flows it does not know.
-	seek bool
-	copier   copier
-	sweepAt  int
+	seek    bool
+	copier  copier
+	sweepAt int
 }
 
 // copiedFlow is a recorded flow that waits to be copied.
--- a/host/sockets.go
+++ b/host/sockets.go
@@ -67,7 +67,10 @@
 
 func openTCP(name string, address netip.AddrPort) (net.Listener, error) {
 	listener, err := net.Listen("tcp", address.String())
-	return listener, errors.Wrapf(err, "open the %s socket at tcp %s", name, address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "open the %s socket at tcp %s", name, address)
+	}
+	return listener, nil
 }
 
 // close closes every open socket. It may be called more than once.
