Keep slots of a data centre taken out split for a while

Such slots now stay split for 30 s, in which the flows are reset here.

Adds tests of silence, of a view that counts as settled too early, of garbage messages, and benchmarks.

--- /dev/null
+++ b/flow/bench_test.go
@@ -0,0 +1,226 @@
+package flow_test
+
+import (
+	"encoding/binary"
+	"fmt"
+	"net/netip"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/rattanthread/rattanthread/fleet"
+	"github.com/rattanthread/rattanthread/flow"
+)
+
+// flowCounts are the numbers of flows over which the benchmarks go round.
+var flowCounts = []int{1000, 10_000, 100_000, 1_000_000}
+
+// numberKey makes k the five-tuple of caller i, as newKey does.
+func numberKey(k *fleet.FlowKey, i int) {
+	k.SourcePort = fleet.Port(i)
+	binary.BigEndian.PutUint32(k.Source[12:], uint32(0x0a000000+i/50000))
+}
+
+// BenchmarkBare is the yardstick: a hash of the five-tuple and one array read.
+func BenchmarkBare(b *testing.B) {
+	var key [16]byte
+	var table [flow.SlotCount]uint32
+	inputs := newInputs()
+	b.RunParallel(func(pb *testing.PB) {
+		var sum uint32
+		for i := 0; pb.Next(); i++ {
+			sum += table[flow.SlotOf(flow.HashFlow(&key, &inputs[i%len(inputs)].Key))]
+		}
+		runtime.KeepAlive(sum)
+	})
+}
+
+// BenchmarkDecide decides about the same packets, in whole slots.
+func BenchmarkDecide(b *testing.B) {
+	s := newSingle()
+	inputs := newInputs()
+	b.RunParallel(func(pb *testing.PB) {
+		for i := 0; pb.Next(); i++ {
+			if s.Decide(s.now, &inputs[i%len(inputs)]).Action != flow.Forward {
+				b.Error("not forwarded")
+			}
+		}
+	})
+}
+
+// newInputs returns packets of 256 flows.
+func newInputs() []flow.Input {
+	inputs := make([]flow.Input, 256)
+	for i := range inputs {
+		inputs[i] = dataInput
+		inputs[i].Key = testKey(i)
+	}
+	return inputs
+}
+
+// BenchmarkDecideFlows decides about packets of whole slots, of more and more flows.
+func BenchmarkDecideFlows(b *testing.B) {
+	s := newSingle()
+	for _, flows := range flowCounts {
+		b.Run(fmt.Sprintf("flows=%d", flows), func(b *testing.B) { benchDecide(b, s, flows) })
+	}
+}
+
+// BenchmarkDecideRecorded decides about recorded flows: every slot is split.
+func BenchmarkDecideRecorded(b *testing.B) {
+	for _, flows := range flowCounts {
+		s := newRecorded(flows)
+		b.Run(fmt.Sprintf("flows=%d", flows), func(b *testing.B) { benchDecide(b, s, flows) })
+	}
+}
+
+// newRecorded has all servers replaced, so that it records every flow.
+func newRecorded(flows int) *single {
+	s := newSingle()
+	s.Limits.Records = flows
+	for i := range s.view.Services[0].Servers {
+		s.drain(i)
+	}
+	for i := range 14 {
+		s.view.Services[0].Servers = append(s.view.Services[0].Servers, newServer("hunt", 1, 14+i))
+	}
+	s.install(true)
+	for i := range flows {
+		s.open(testKey(i))
+	}
+	return s
+}
+
+func benchDecide(b *testing.B, s *single, flows int) {
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		in := dataInput
+		in.Key = testKey(0)
+		for i := 0; pb.Next(); i = (i + 7919) % flows {
+			numberKey(&in.Key, i)
+			if d := s.Decide(s.now, &in); d.Action != flow.Forward {
+				b.Errorf("%v %s", d.Action, d.Reason)
+				return
+			}
+		}
+	})
+}
+
+// BenchmarkRecordBytes reports the memory of a split slot, and of a record.
+func BenchmarkRecordBytes(b *testing.B) {
+	for b.Loop() {
+		start := heap()
+		empty := newRecorded(0)
+		split := heap()
+		runtime.KeepAlive(empty)
+		full := newRecorded(1_000_000)
+		recorded := heap()
+		b.ReportMetric(float64(split-start)/flow.SlotCount, "B/split")
+		b.ReportMetric(float64(recorded-split)/float64(full.Stats().Records), "B/record")
+		runtime.KeepAlive(full)
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// largeFleet has 880 services and about 3,400 servers.
+func largeFleet() []flow.Service {
+	var services []flow.Service
+	for i := range 880 {
+		s := newService(fleet.ServiceName(fmt.Sprintf("service-%03d", i)), byte(i), 3+(i%8+1)/2%3)
+		s.Address = netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, byte(i >> 8), byte(i)}), 443)
+		services = append(services, s)
+	}
+	return services
+}
+
+// BenchmarkInstall takes in a view of the large fleet: the first, and one in
+// which a single service has changed.
+func BenchmarkInstall(b *testing.B) {
+	services := largeFleet()
+	servers := 0
+	for _, s := range services {
+		servers += len(s.Servers)
+	}
+	v := flow.View{Self: "a1", Hosts: []fleet.HostID{"a1"}, Services: services, Settled: true}
+	b.Run("all", func(b *testing.B) {
+		before := heap()
+		var r *flow.Router
+		for b.Loop() {
+			r = new(flow.Router)
+			r.Install(epoch, v)
+		}
+		b.ReportMetric(float64(heap()-before)/1e6, "MB")
+		b.ReportMetric(float64(servers), "servers")
+		runtime.KeepAlive(r)
+	})
+	b.Run("one changed", func(b *testing.B) {
+		r := new(flow.Router)
+		r.Install(epoch, v)
+		for i := 0; b.Loop(); i++ {
+			services[7].Servers[0].Weight = fleet.Weight(100 + i%2)
+			r.Install(epoch, v)
+		}
+	})
+}
+
+// BenchmarkControlBytes reports the bytes that a host sends in a second: 9 hosts
+// with 3,000 new flows a second each, at rest and in the 20 s after a drain.
+func BenchmarkControlBytes(b *testing.B) {
+	for b.Loop() {
+		c := newCluster(b, chosen, 9)
+		c.interval = 20 * time.Second
+		clear(c.bytes)
+		c.start(27_000*10, 10*time.Second)
+		c.run(10 * time.Second)
+		b.ReportMetric(c.sent()/9/10, "steady-B/s")
+		c.start(27_000*22, 22*time.Second)
+		c.drain(3)
+		c.run(2 * time.Second)
+		clear(c.bytes)
+		c.run(20 * time.Second)
+		b.ReportMetric(c.sent()/9/20, "drain-B/s")
+		clear(c.bytes)
+		c.join("host-99")
+		b.ReportMetric(c.sent()/9, "join-B")
+		b.Log(c.bytes, c.broken, c.stalled)
+	}
+}
+
+// BenchmarkControlBytesLarge reports the same for 490 hosts with 49 new flows a
+// second each, all of one service, and the bytes of retiring the split.
+func BenchmarkControlBytesLarge(b *testing.B) {
+	for b.Loop() {
+		c := newCluster(b, chosen, 490)
+		c.interval = 20 * time.Second
+		c.start(24_010*12, 12*time.Second)
+		c.drain(3)
+		c.run(2 * time.Second)
+		clear(c.bytes)
+		c.run(10 * time.Second)
+		b.ReportMetric(c.sent()/490/10, "drain-B/s")
+		b.Log(c.bytes, c.broken, c.stalled)
+		quiet := newCluster(b, chosen, 490)
+		quiet.services[0].IdleTimeout = 5 * time.Second
+		quiet.drain(3)
+		quiet.run(2 * time.Second)
+		clear(quiet.bytes)
+		quiet.run(8 * time.Second)
+		b.ReportMetric(quiet.sent()/490, "retire-B")
+		b.Log(quiet.bytes)
+	}
+}
+
+// sent returns the bytes of all messages.
+func (c *cluster) sent() float64 {
+	sum := 0
+	for _, n := range c.bytes {
+		sum += n
+	}
+	return float64(sum)
+}
--- a/flow/change_test.go
+++ b/flow/change_test.go
@@ -161,6 +161,7 @@
 func TestChanges(t *testing.T) {
 	for _, ch := range changes {
 		t.Run(ch.name, func(t *testing.T) {
+			t.Parallel()
 			is := is.New(t)
 			c := play(t, chosen, &ch)
 			t.Logf("chosen: %d flows, broken %d, stalled %d, refused %d, dropped %.3f%%, second hop %.2f%% of packets",
@@ -182,6 +183,7 @@
 // TestBaselines shows what the same changes break by other policies. It also
 // shows that the test can fail.
 func TestBaselines(t *testing.T) {
+	t.Parallel()
 	for _, ch := range changes[1:5] {
 		for _, p := range []policy{hashing, replication} {
 			c := play(t, p, &ch)
@@ -192,3 +194,68 @@
 		}
 	}
 }
+
+// TestSettledTooEarly breaks the rule that new flows wait for all hosts: a view
+// that counts as settled before all hosts have it breaks flows.
+func TestSettledTooEarly(t *testing.T) {
+	is := is.New(t)
+	c := play(t, chosen, &change{do: func(c *cluster) {
+		c.server(0, 3).Weight, c.server(0, 3).Admission = 0, flow.AdmitNone
+		c.start(*flowCount, 2*spread)
+		for i, h := range c.hosts {
+			c.after(time.Duration(i)*spread/4, func() { c.install(h, true) })
+		}
+	}})
+	is.True(c.broken > 0)
+}
+
+// TestDataCentreTakenOut checks that no packet reaches a data centre once every
+// host knows that it was taken out, and that only its flows end.
+func TestDataCentreTakenOut(t *testing.T) {
+	is := is.New(t)
+	out := func(s *flow.Server) bool { return s.DataCentre == "dc-1" }
+	var open int
+	c := play(t, chosen, &change{do: func(c *cluster) {
+		for i := range c.services {
+			for j := range c.services[i].Servers {
+				if s := c.server(i, j); out(s) {
+					s.Weight, s.Out = 0, true
+				}
+			}
+		}
+		c.publish(spread)
+		c.run(spread + step)
+		open, c.outPackets = c.ended, 0
+	}})
+	t.Logf("%d flows of %d ended, %d in the first second", c.ended, len(c.flows), open)
+	is.Equal(c.outPackets, 0)
+	is.Equal(c.broken, 0)
+	is.True(c.ended > len(c.flows)/5)
+}
+
+// TestGarbageMessages feeds messages that no peer should send.
+func TestGarbageMessages(t *testing.T) {
+	is := is.New(t)
+	s := newSingle()
+	s.view.Hosts = []fleet.HostID{"a1", "a2"}
+	s.drain(3)
+	s.install(true)
+	bad := []flow.AgreedSlots{{Server: "nobody", Epoch: 1, Slots: []uint16{0, flow.SlotCount, 65535}}}
+	flows := []flow.ServerFlows{{Server: "", Flows: []uint64{0, 1}}, {Server: "nobody", Flows: []uint64{0, 1 << 63}}}
+	for _, m := range append(flow.Messages(),
+		&flow.Retire{Service: "hunt", Agreed: bad}, &flow.Retire{Service: "no such", Agreed: bad},
+		&flow.Splits{Ready: true, Part: -1, Parts: -1},
+		&flow.Records{Part: -3, Services: []flow.ServiceRecords{{Service: "hunt", Agreed: bad, Established: flows, HalfOpen: flows}}},
+		&flow.Fetch{Services: []flow.ServiceSlots{{Service: "hunt", Slots: []uint16{flow.SlotCount, 0, 0}}, {Service: "x"}}},
+	) {
+		for range 2 {
+			s.Receive(s.now, "a2", m)
+			s.Receive(s.now, "stranger", m)
+		}
+	}
+	s.pass(5 * time.Second)
+	for i := range 2000 {
+		d := s.send(testKey(i), synInput)
+		is.True(d.Action != flow.Forward || d.Address.Addr().As4()[2] == 1)
+	}
+}
--- a/flow/cluster_test.go
+++ b/flow/cluster_test.go
@@ -56,6 +56,8 @@
 type results struct {
 	broken, placeable, ended, refused, stalled, misplaced int
 	packets, hops, dropped                                int
+	// outPackets went to servers that the published services have as out.
+	outPackets int
 }
 
 // cluster is a set of routers with a carrier for their messages, and callers
@@ -95,6 +97,9 @@
 		c.install(h, true)
 	}
 	c.run(time.Second)
+	if hosts > 20 {
+		c.run(5 * time.Second) // a fresh host asks its peers one by one
+	}
 	for h, r := range c.routers {
 		if !r.Ready() {
 			t.Fatalf("%s is not ready", h)
@@ -318,6 +323,13 @@
 	if d.Action == flow.Forward && d.Address.Addr().As4()[2] != f.key.Destination[15] {
 		c.misplaced++
 	}
+	for i := range c.services {
+		for j := range c.services[i].Servers {
+			if s := c.server(i, j); s.Out && d.Action == flow.Forward && d.Server == s.ID {
+				c.outPackets++
+			}
+		}
+	}
 }
 
 // random returns a duration in [0, d).
--- a/flow/export_test.go
+++ b/flow/export_test.go
@@ -18,3 +18,9 @@
 
 // Mix exports mix.
 func Mix(seed, n uint64) uint64 { return mix(seed, n) }
+
+// HashFlow exports hashFlow.
+func HashFlow(key *[16]byte, k *fleet.FlowKey) uint64 { return hashFlow(key, k) }
+
+// SlotOf exports slotOf.
+func SlotOf(hash uint64) uint16 { return slotOf(hash) }
--- a/flow/service.go
+++ b/flow/service.go
@@ -247,8 +247,9 @@
 // does so before the view is settled.
 func (r *Router) addSplit(now time.Time, s *service, slot uint16, a authority) *slotState {
 	state := &slotState{slot: slot, live: new(slotFlows), since: now, refreshed: now}
-	if agreed := s.agreed[slot]; agreed != noServer && s.servers[agreed].usable() {
-		state.live.lastOther = now
+	state.live.lastOther = now
+	if agreed := s.agreed[slot]; agreed != noServer && !s.servers[agreed].usable() {
+		state.live.lastOther = now.Add(min(0, endLinger-s.idleTimeout()))
 	}
 	state.preference, state.target = s.prefer(slot), s.target[slot]
 	s.splits[slot] = state
--- /dev/null
+++ b/flow/silence_test.go
@@ -0,0 +1,108 @@
+package flow_test
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/rattanthread/rattanthread/flow"
+)
+
+// sent is a packet of a caller, at a time after the first.
+type sent struct {
+	at       time.Duration
+	sequence uint32
+	ack      uint32
+	payload  int
+}
+
+func TestSilence(t *testing.T) {
+	const s = time.Second
+	tests := []struct {
+		name    string
+		packets []sent
+		want    bool
+	}{
+		{"retransmissions", []sent{{0, 10, 5, 100}, {3 * s, 10, 5, 100}, {31 * s, 10, 5, 100}}, true},
+		{"not long enough", []sent{{0, 10, 5, 100}, {29 * s, 10, 5, 100}}, false},
+		{"answered", []sent{{0, 10, 5, 100}, {20 * s, 10, 5, 100}, {25 * s, 110, 5, 100}, {40 * s, 110, 5, 100}}, false},
+		{"acknowledgement moves on", []sent{{0, 10, 5, 100}, {31 * s, 10, 6, 100}}, false},
+		{"quiet for minutes", []sent{{0, 10, 5, 100}, {600 * s, 110, 5, 100}}, false},
+		{"keep-alives", []sent{{0, 10, 5, 0}, {75 * s, 9, 5, 0}, {150 * s, 9, 5, 1}, {225 * s, 9, 5, 1}}, false},
+		{"late packet between", []sent{{0, 110, 5, 100}, {9 * s, 10, 5, 100}, {31 * s, 110, 5, 100}}, true},
+		{"sequence wraps", []sent{{0, 1<<32 - 50, 5, 100}, {20 * s, 50, 5, 100}, {40 * s, 50, 5, 100}}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			var silence flow.Silence
+			got := false
+			for _, p := range test.packets {
+				got = got || silence.Observe(epoch.Add(p.at), p.input(1), flow.DefaultSilentTimeout)
+			}
+			is.Equal(got, test.want)
+		})
+	}
+}
+
+func (p sent) input(i int) *flow.Input {
+	return &flow.Input{Key: testKey(i), ACK: true, Sequence: p.sequence, Acknowledgement: p.ack, PayloadLen: p.payload}
+}
+
+func TestSilenceIsBounded(t *testing.T) {
+	is := is.New(t)
+	silence := flow.Silence{Flows: 64}
+	for i := range 10_000 {
+		is.True(!silence.Observe(epoch, sent{0, 10, 5, 100}.input(i), flow.DefaultSilentTimeout))
+	}
+	is.True(silence.Crowded() >= 10_000-64)
+	in := sent{0, 10, 5, 100}.input(1)
+	is.Equal(testing.AllocsPerRun(100, func() { silence.Observe(epoch, in, flow.DefaultSilentTimeout) }), 0.0)
+}
+
+// TestSilenceOverHosts measures how long silent flows live when the packets of
+// each are sprayed over hosts that judge alone. Callers double their wait from
+// 200 ms up to 120 s.
+func TestSilenceOverHosts(t *testing.T) {
+	is := is.New(t)
+	for _, hosts := range []int{1, 3, 9, 490} {
+		r := rand.New(rand.NewPCG(seed, 0))
+		var ended []time.Duration
+		for i := range 1000 {
+			if at, ok := endOfSilent(r, i, hosts); ok {
+				ended = append(ended, at)
+			}
+		}
+		if len(ended) == 0 {
+			t.Logf("%d hosts: no flow ended in 924 s", hosts)
+			continue
+		}
+		slices.Sort(ended)
+		t.Logf("%d hosts: %d of 1000 flows ended, half of these after %v, nine tenths after %v",
+			hosts, len(ended), ended[len(ended)/2], ended[len(ended)*9/10])
+		if hosts == 1 {
+			is.Equal(ended[0], ended[len(ended)-1])
+			is.True(ended[0] < 2*flow.DefaultSilentTimeout)
+		}
+	}
+}
+
+// endOfSilent returns when one of the hosts finds that flow i is silent, within
+// the 15 retransmissions that Linux makes.
+func endOfSilent(r *rand.Rand, i, hosts int) (time.Duration, bool) {
+	trackers := make([]flow.Silence, hosts)
+	at, wait := time.Duration(0), 200*time.Millisecond
+	for range 16 {
+		tracker := &trackers[r.IntN(hosts)]
+		tracker.Flows = 64
+		if tracker.Observe(epoch.Add(at), sent{0, 10, 5, 100}.input(i), flow.DefaultSilentTimeout) {
+			return at, true
+		}
+		at += wait
+		wait = min(2*wait, 2*time.Minute)
+	}
+	return 0, false
+}
--- a/flow/split.go
+++ b/flow/split.go
@@ -12,6 +12,12 @@
 // be on a server that admits no new ones.
 const udpDrainWindow = 5 * time.Second
 
+// endLinger is for how long a slot stays split whose flows were ended with their
+// server. Until then this system resets them; after that, the first packet of a
+// flow that was quiet meanwhile reaches the new server of the slot, which does
+// not know it and resets it.
+const endLinger = 30 * time.Second
+
 // preferences is how many servers of a split slot are ranked ahead of need.
 const preferences = 4
 
