Find the lost side of a partition sooner

Change: news goes to hosts that are not suspected, repeated pings carry none, and while three members are suspected a host probes four per interval. A test holds messages to the size of a datagram.

--- a/membership/network_test.go
+++ b/membership/network_test.go
@@ -30,6 +30,7 @@
 	inbox  []delivery
 	bytes  int // sent
 	sent   int // messages
+	long   int // bytes of the longest message that is sent without being asked for
 }
 
 type delivery struct {
@@ -157,6 +158,9 @@
 		}
 		n.nodes[from].bytes += len(b) + overhead
 		n.nodes[from].sent++
+		if _, ok := s.Message.(*membership.Snapshot); !ok {
+			n.nodes[from].long = max(n.nodes[from].long, len(b)+overhead)
+		}
 		if n.random.Float64() < n.loss || (n.cut != nil && n.cut(from, s.To)) {
 			continue
 		}
--- a/membership/news.go
+++ b/membership/news.go
@@ -8,8 +8,18 @@
 	"github.com/rattanthread/rattanthread/fleet"
 )
 
-// header returns the header of a message to a peer.
+// header returns the header of a message to a peer. News goes only to hosts
+// that are likely to be there.
 func (t *Table) header(to fleet.HostID) Header {
+	h := t.bareHeader(to)
+	if m := t.members[to]; m != nil && m.Status == Alive {
+		h.News = t.news(to)
+	}
+	return h
+}
+
+// bareHeader returns a header without news.
+func (t *Table) bareHeader(to fleet.HostID) Header {
 	t.rebuild()
 	h := Header{Self: t.me.claim(true), State: t.views.local, Acks: t.acks()}
 	if m := t.members[to]; m != nil && m.Status != Candidate {
@@ -18,7 +28,6 @@
 			h.About.Status = Dead
 		}
 	}
-	h.News = t.news(to)
 	return h
 }
 
@@ -66,10 +75,11 @@
 
 // estimate returns about how many bytes a claim takes when encoded.
 func estimate(c Claim) int {
-	const numbers, addresses = 16, 20
+	const numbers, ports = 16, 8
 	n := len(c.Host) + numbers
 	if c.Contact != nil {
-		n += len(c.Contact.DataCentre) + addresses
+		addresses := c.Contact.PeerAddress.Addr().BitLen() + c.Contact.HandoffAddress.Addr().BitLen()
+		n += len(c.Contact.DataCentre) + addresses/8 + ports
 	}
 	return n
 }
@@ -84,7 +94,7 @@
 		return sends
 	}
 	t.nextGossip = now.Add(t.timing.Gossip)
-	for _, m := range t.pick(t.livePeers(), gossipFanout, "") {
+	for _, m := range t.pick(t.unsuspected(), gossipFanout, "") {
 		sends = append(sends, fleet.Send{To: m.Host.ID, Message: &Gossip{Header: t.header(m.Host.ID)}})
 	}
 	return sends
@@ -101,6 +111,21 @@
 	m.fresh = fresh
 }
 
+// unsuspected returns the live members that are not suspected, or all when
+// every one is.
+func (t *Table) unsuspected() []*member {
+	var alive []*member
+	for _, m := range t.livePeers() {
+		if m.Status == Alive {
+			alive = append(alive, m)
+		}
+	}
+	if len(alive) == 0 {
+		return t.livePeers()
+	}
+	return alive
+}
+
 // pick returns up to n random members of list, none of them named except.
 func (t *Table) pick(list []*member, n int, except fleet.HostID) []*member {
 	var picked []*member
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -45,7 +45,7 @@
 	return t.pingLost(sends)
 }
 
-// targets returns the members to probe in this interval: the next of the round,
+// targets returns the members to probe in this interval: the next ones of the round,
 // every member whose suspicion this host raised, and one doubted member.
 func (t *Table) targets() []*member {
 	var targets []*member
@@ -59,12 +59,31 @@
 			targets = append(targets, m)
 		}
 	}
-	if m := t.nextOfRound(); m != nil && !slices.Contains(targets, m) {
-		targets = append(targets, m)
+	probes := 1
+	if t.burst() {
+		probes = burstProbes
+	}
+	for range probes {
+		if m := t.nextOfRound(); m != nil && !slices.Contains(targets, m) {
+			targets = append(targets, m)
+		}
 	}
 	return targets
 }
 
+// burst reports whether several members are suspected at once, so that more are
+// likely to be lost. More probes then find them sooner, and fewer helpers, which
+// are likely to be cut off too, keep the cost down.
+func (t *Table) burst() bool {
+	suspects := 0
+	for _, m := range t.livePeers() {
+		if m.Status == Suspect {
+			suspects++
+		}
+	}
+	return suspects >= burstSuspects
+}
+
 // nextOfRound returns the live members in turn, each round in a new random
 // order, so that the time until a member is probed is bounded.
 func (t *Table) nextOfRound() *member {
@@ -132,8 +151,13 @@
 
 func (t *Table) retry(p *probe, sends []fleet.Send) []fleet.Send {
 	t.counts.Retries++
-	sends = t.ping(p.target, p.sequence, sends)
-	for _, helper := range t.pick(t.livePeers(), helpers, p.target) {
+	again := &Ping{Header: t.bareHeader(p.target), Sequence: p.sequence}
+	sends = append(sends, fleet.Send{To: p.target, Message: again})
+	n := helpers
+	if t.burst() {
+		n = 1
+	}
+	for _, helper := range t.pick(t.livePeers(), n, p.target) {
 		to := helper.Host.ID
 		request := &PingRequest{Header: t.header(to), Sequence: p.sequence, Target: p.target}
 		sends = append(sends, fleet.Send{To: to, Message: request})
--- a/membership/timing.go
+++ b/membership/timing.go
@@ -17,6 +17,8 @@
 // Bounds that do not depend on Timing.
 const (
 	helpers           = 3           // members asked for one indirect probe
+	burstSuspects     = 3           // suspects at once that point to a partition or a lost rack
+	burstProbes       = 4           // probes per interval then, each with one helper
 	gossipFanout      = 3           // members told in one round of news
 	leaveFanout       = 8           // members told of a planned stop
 	newsFactor        = 2           // news is sent newsFactor * log2(hosts) times
