--- a/membership/news.go
+++ b/membership/news.go
@@ -75,7 +75,7 @@
 
 // estimate returns about how many bytes a claim takes when encoded.
 func estimate(c Claim) int {
-	const numbers, ports = 16, 8
+	const numbers, ports = 16, 12
 	n := len(c.Host) + numbers
 	if c.Contact != nil {
 		addresses := c.Contact.PeerAddress.Addr().BitLen() + c.Contact.HandoffAddress.Addr().BitLen()
