--- a/membership/network_test.go
+++ b/membership/network_test.go
@@ -16,7 +16,7 @@
 
 // overhead is the size of what surrounds the body of a message: the envelope of
 // package peer, and the headers of UDP and IPv4.
-const overhead = 72 + 28
+const overhead = 80 + 28
 
 // tickEvery is how often the owner of a table calls Tick.
 const tickEvery = 50 * time.Millisecond
@@ -30,6 +30,7 @@
 	inbox  []delivery
 	bytes  int // sent
 	sent   int // messages
+	long   int // bytes of the longest message that is sent without being asked for
 }
 
 type delivery struct {
@@ -157,6 +158,9 @@
 		}
 		n.nodes[from].bytes += len(b) + overhead
 		n.nodes[from].sent++
+		if _, ok := s.Message.(*membership.Snapshot); !ok {
+			n.nodes[from].long = max(n.nodes[from].long, len(b)+overhead)
+		}
 		if n.random.Float64() < n.loss || (n.cut != nil && n.cut(from, s.To)) {
 			continue
 		}
