Say so when no entry host is registered

Cause: status printed an empty table and exited with 0, which reads as if all were well. Change: it says that no host is registered and exits with 1; states are counted in a fixed order; unknown states show as '-'. The test's step for an empty fleet now expects the message and exit status 1. Conclusion: exit status 0 means that every host has the latest revision.

--- a/command/command_test.go
+++ b/command/command_test.go
@@ -110,7 +110,7 @@
 		{"in tp2", 0, "nothing to do"},
 		{"status extra", 2, "want no arguments"},
 		{"status -hosts here", 2, "not an address"},
-		{"status", 0, "latest revision: 5"},
+		{"status", 1, "latest revision: 5\n\nno entry host is registered"},
 		{"platform extra", 2, "want no arguments"},
 	}
 	var b bench
--- a/command/status.go
+++ b/command/status.go
@@ -1,13 +1,16 @@
 package command
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"flag"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -48,7 +51,7 @@
   Ask each entry host which revision it has in force and what it sees of its
   peers and of the backend servers. Names the stragglers: hosts that don't
   answer, are not ready, or have another revision than the latest. Exits with 1
-  if there is one.
+  if there is one, or if no host is registered.
 
   The platform lists the hosts. While it can't be reached, give the hosts' admin
   addresses with -hosts; the latest revision is then the highest that a host has.
@@ -98,7 +101,7 @@
 	if err := c.print(report); err != nil {
 		return c.fail(errors.Wrap(err, "print status"))
 	}
-	if len(report.Stragglers) > 0 {
+	if len(report.Stragglers) > 0 || len(report.Hosts) == 0 {
 		return subcommands.ExitFailure
 	}
 	return subcommands.ExitSuccess
@@ -237,6 +240,10 @@
 		c.printf("platform: %s\n", report.Platform)
 	}
 	c.printf("latest revision: %d\n\n", report.Revision)
+	if len(report.Hosts) == 0 {
+		c.printf("no entry host is registered\n")
+		return nil
+	}
 	w := tabwriter.NewWriter(c.out(), 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "HOST\tDATA CENTRE\tSTATE\tREADY\tREVISION\tIN FORCE FOR\tPEERS\tSERVERS\tNOTE")
 	for _, host := range report.Hosts {
@@ -253,30 +260,24 @@
 
 func (h *HostReport) row() string {
 	if h.Status == nil {
-		return fmt.Sprintf("%s\t-\t%s\t-\t-\t-\t-\t-\t%s: %s", h.Host, h.State, h.Lags, h.Error)
+		return fmt.Sprintf("%s\t-\t%s\t-\t-\t-\t-\t-\t%s: %s", h.Host, cmp.Or(h.State, "-"), h.Lags, h.Error)
 	}
 	s := h.Status
 	peers := tally(s.Peers, func(p status.Peer) string { return p.State })
 	servers := tally(s.Servers, func(v status.Server) string { return v.Phase })
-	return fmt.Sprintf("%s\t%s\t%s\t%t\t%d\t%s\t%s\t%s\t%s", s.Host, s.DataCentre, h.State, s.Ready, s.Revision,
+	return fmt.Sprintf("%s\t%s\t%s\t%t\t%d\t%s\t%s\t%s\t%s", s.Host, s.DataCentre, cmp.Or(h.State, "-"), s.Ready, s.Revision,
 		s.RevisionAge.Duration().Round(time.Second), peers, servers, h.Lags)
 }
 
-// tally counts values by state, in the order in which states first appear.
+// tally counts values by state.
 func tally[T any](values []T, state func(T) string) string {
-	var order []string
 	counts := map[string]int{}
 	for _, value := range values {
-		if counts[state(value)] == 0 {
-			order = append(order, state(value))
-		}
 		counts[state(value)]++
 	}
-	for i, name := range order {
-		order[i] = fmt.Sprintf("%d %s", counts[name], name)
-	}
-	if len(order) == 0 {
-		return "-"
+	var parts []string
+	for _, name := range slices.Sorted(maps.Keys(counts)) {
+		parts = append(parts, fmt.Sprintf("%d %s", counts[name], name))
 	}
-	return strings.Join(order, ", ")
+	return cmp.Or(strings.Join(parts, ", "), "-")
 }
