flow: Give up slots whose new owner could not ask for them

Cause: at the start each host owned all slots until its peers were live; the new owners' fetches were lost while links were in backoff, so two hosts decided about one slot. Ruled out: the packet workers and the handoff socket (no refusals counted).

--- a/flow/split.go
+++ b/flow/split.go
@@ -94,6 +94,9 @@
 	settled    time.Time // when all hosts knew its target; zero: not yet
 	refreshed  time.Time // when all its records were last copied
 	live       *slotFlows
+	// lost is true when another host owned the slot at the last visit of the
+	// sweep, and this host still had authority.
+	lost bool
 }
 
 // ownerKey is the rendezvous key of a slot.
--- a/flow/sweep.go
+++ b/flow/sweep.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rattanthread/rattanthread/fleet"
@@ -9,23 +10,48 @@
 // sweepShare is the number of ticks in which every split slot is visited once.
 const sweepShare = 16
 
-// sweep visits a share of the split slots: it drops records that are due, and
-// retires the splits that are over.
+// sweep visits a share of the split slots: it drops records that are due,
+// retires the splits that are over, and gives up slots that others own.
 func (r *Router) sweep(now time.Time) []fleet.Send {
 	r.sweepAt = (r.sweepAt + 1) % sweepShare
 	var sends []fleet.Send
+	given := make(map[fleet.HostID]*recordsBuilder)
 	for _, s := range r.services {
 		var over []uint16
 		for slot, state := range s.splits {
-			if int(slot)%sweepShare == r.sweepAt && r.sweepSlot(now, s, state) {
+			if int(slot)%sweepShare != r.sweepAt {
+				continue
+			}
+			r.giveUp(now, s, state, given)
+			if r.sweepSlot(now, s, state) {
 				over = append(over, slot)
 			}
 		}
 		if len(over) > 0 {
+			slices.Sort(over)
 			sends = append(sends, r.retire(s, over)...)
 		}
 	}
-	return sends
+	return append(sends, r.sendCopies(given)...)
+}
+
+// giveUp ends this host's authority over a slot that another host has owned since
+// the last visit. The new owner's fetch may never have arrived, and two hosts
+// must not both decide for longer than it takes. The new owner is told what was
+// decided here.
+func (r *Router) giveUp(now time.Time, s *service, state *slotState, given map[fleet.HostID]*recordsBuilder) {
+	f := state.live
+	if state.owner == r.view.Self || state.owner == "" || f.current() == authorityNone {
+		state.lost = false
+		return
+	}
+	if !state.lost {
+		state.lost = true
+		return
+	}
+	state.lost = false
+	f.release()
+	r.builder(given, state.owner).addSlot(s, f, seconds(now))
 }
 
 // sweepSlot drops the records of a slot that are due, and reports whether this
