peer: Retry a link as soon as the peer is heard of

Cause: links to a restarted host waited out a backoff of up to 5 s and dropped what was queued, among it the answers to the new owner's fetch. Change: an authenticated message from the peer ends the wait.

--- a/peer/hub.go
+++ b/peer/hub.go
@@ -208,7 +208,7 @@
 			h.drop(ReasonTooManyPeers)
 			return
 		}
-		l = &link{hub: h, to: s.To, queue: make(chan queued, h.limits.QueuedMessages)}
+		l = newLink(h, s.To)
 		h.links[s.To] = l
 		h.running.Add(1)
 		go l.run(h.serving)
@@ -247,6 +247,18 @@
 	})
 }
 
+// wake lets the link to a peer that was heard of try again at once, if it waits.
+func (h *Hub) wake(peer fleet.HostID) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if l := h.links[peer]; l != nil {
+		select {
+		case l.heard <- struct{}{}:
+		default:
+		}
+	}
+}
+
 // take checks a message that arrived and delivers it. The error is a *RefusedError.
 func (h *Hub) take(path Path, b []byte) error {
 	h.counters.bytes.WithLabelValues(path.String(), "in").Add(float64(len(b)))
@@ -259,6 +271,7 @@
 		return err
 	}
 	h.counters.taken.WithLabelValues(path.String()).Inc()
+	h.wake(from)
 	h.Deliver(from, m)
 	return nil
 }
--- a/peer/link.go
+++ b/peer/link.go
@@ -27,10 +27,20 @@
 	hub     *Hub
 	to      fleet.HostID
 	queue   chan queued
+	heard   chan struct{} // holds one signal that the peer was heard of
 	conn    *websocket.Conn
 	backoff time.Duration
 }
 
+func newLink(h *Hub, to fleet.HostID) *link {
+	return &link{
+		hub:   h,
+		to:    to,
+		queue: make(chan queued, h.limits.QueuedMessages),
+		heard: make(chan struct{}, 1),
+	}
+}
+
 // run sends what is queued until the link is idle or ctx ends.
 func (l *link) run(ctx context.Context) {
 	defer l.hub.running.Done()
@@ -157,13 +167,19 @@
 }
 
 // wait pauses before the next attempt, twice as long each time, with jitter so
-// that the peers of a restarted host do not return together.
+// that the peers of a restarted host do not return together. A message from the
+// peer ends the pause: the peer is there.
 func (l *link) wait(ctx context.Context) {
+	select {
+	case <-l.heard: // it was heard of before the attempt failed
+	default:
+	}
 	l.backoff = min(max(2*l.backoff, l.hub.limits.BackoffMin), l.hub.limits.BackoffMax)
 	timer := time.NewTimer(l.backoff/2 + rand.N(l.backoff/2+1))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
+	case <-l.heard:
 	case <-ctx.Done():
 	}
 }
