control: Let a fresh host look for its peers before it decides

Cause: a restarted host read the platform before it had heard of a peer, took itself for the only host and the owner of every split slot, and sent flows to servers that did not know them. Ruled out: lost fetch answers, link backoff. Change: flows, servers and keys are installed only once the rollout has compared with peers or waited for them. A test gives a fresh core the platform's answer first.

--- /dev/null
+++ b/control/core_test.go
@@ -0,0 +1,58 @@
+package control_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/rattanthread/rattanthread/config"
+	"github.com/rattanthread/rattanthread/control"
+	"github.com/rattanthread/rattanthread/fleet"
+	"github.com/rattanthread/rattanthread/flow"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func oneService() config.Revised {
+	set := config.Set{
+		DataCentres: []config.DataCentre{{Name: "tp1"}},
+		Services: []config.Service{{
+			Name: "hints", Kind: config.KindFlow, Address: netip.MustParseAddrPort("127.200.0.1:7000"),
+		}},
+		Servers: []config.Server{{
+			Name: "hints-1", Service: "hints", DataCentre: "tp1", Address: netip.MustParseAddrPort("127.201.0.1:7000"),
+		}},
+	}
+	return config.Revised{History: "h", Revision: 1, Published: start, Set: set.Normalised()}
+}
+
+func packetTo(address string) *flow.Input {
+	to := netip.MustParseAddrPort(address)
+	return &flow.Input{SYN: true, Key: fleet.FlowKey{
+		Source:          netip.MustParseAddr("127.100.0.1").As16(),
+		Destination:     to.Addr().As16(),
+		SourcePort:      1000,
+		DestinationPort: fleet.Port(to.Port()),
+		Protocol:        fleet.ProtocolTCP,
+	}}
+}
+
+// A fresh host often reads the platform before it has heard of any peer. It
+// must not decide alone then.
+func TestFreshHostDecidesNothingBeforeItLookedForPeers(t *testing.T) {
+	is := is.New(t)
+	core := control.New(control.Options{Self: fleet.Host{ID: "a1", DataCentre: "tp1", Incarnation: 1}})
+	now := start
+	core.Step(now, &control.RevisionRead{Revised: oneService()})
+	is.Equal(core.Router().Decide(now, packetTo("127.200.0.1:7000")).Reason, flow.ReasonNotReady)
+	is.True(!core.Snapshot().Ready)
+	for now.Before(start.Add(10 * time.Second)) {
+		now = now.Add(control.TickInterval)
+		core.Step(now, &control.Tick{})
+	}
+	is.True(core.Snapshot().Ready) // nobody answered: the host is alone
+	is.True(core.Router().Decide(now, packetTo("127.200.0.1:7000")).Reason != flow.ReasonNotReady)
+	is.Equal(core.Router().Decide(now, packetTo("127.200.0.1:7001")).Reason, flow.ReasonUnknownAddress)
+}
--- a/control/refresh.go
+++ b/control/refresh.go
@@ -27,7 +27,9 @@
 		c.rollout.Install(now, c.members.Live())
 	}
 	revised, ok := c.rollout.InForce()
-	if !ok {
+	if !ok || !c.rollout.Ready() {
+		// A fresh host that knows no peer yet would take itself for the owner
+		// of everything.
 		c.installed.members = members
 		return out
 	}
