--- a/request/faults_test.go
+++ b/request/faults_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"github.com/rattanthread/rattanthread/config"
+	"github.com/rattanthread/rattanthread/fleet"
 	"github.com/rattanthread/rattanthread/request"
 )
 
@@ -218,3 +219,39 @@
 		seen.cases, seen.maxRuns, float64(seen.ran)/float64(seen.cases), seen.told)
 	is.Equal(strings.Join(seen.errs, "\n"), "")
 }
+
+// TestCutOffHomeRunsNothingNew takes a data centre out while it is cut off. A
+// key that is issued later and sent to both sides must run at one of them only.
+func TestCutOffHomeRunsNothingNew(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(10 * seeds(1)) {
+		s := &scene{cluster: newCluster(seed, 3, 3)}
+		s.key = s.newKey(0)
+		inside := s.home()
+		s.cut(time.Minute, inside...)
+		s.setHome(new(string), config.StateOut)
+		s.run(testLimits.MoveMargin + 500*time.Millisecond)
+		for s.key = s.newKey(0); s.placedAt(inside[0].centre) != inside[0].centre; {
+			s.key = s.newKey(0)
+		}
+		outside := s.nodes[slices.IndexFunc(s.nodes, func(n *node) bool { return s.side[n.id] == 0 })]
+		for range 4 {
+			s.call(inside[0], s.key)
+			s.call(outside, s.key)
+			s.run(400 * time.Millisecond)
+		}
+		s.run(3 * time.Second)
+		is.True(s.runs[s.key.String()] <= 1)
+		is.True(slices.Contains(s.told, "refused"))
+		is.True(slices.Contains(s.told, "run"))
+	}
+}
+
+// placedAt returns the home of the scene's key if the data centre were in.
+func (s *scene) placedAt(name fleet.DataCentreID) fleet.DataCentreID {
+	centres := s.centres
+	defer func() { s.centres = centres }()
+	s.setHome((*string)(&name), config.StateIn)
+	home, _, _ := s.roles(s.key)
+	return home
+}
