request, backend: Add examples and tests of the small parts

Cause: keys, budgets, backoff, admission and concurrent credit were covered only through larger tests.

--- /dev/null
+++ b/request/admission_test.go
@@ -0,0 +1,55 @@
+package request_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/rattanthread/rattanthread/fleet"
+	"github.com/rattanthread/rattanthread/request"
+)
+
+func TestAdmissionIsFair(t *testing.T) {
+	is := is.New(t)
+	a := request.Admission{Max: 100}
+	enter := func(service fleet.ServiceName, limit, count int) (admitted int) {
+		for range count {
+			if _, _, ok := a.Enter(epoch, service, limit); ok {
+				admitted++
+			}
+		}
+		return admitted
+	}
+	is.Equal(enter("maps", 0, 200), 100) // alone, a service may use all
+	is.Equal(enter("orders", 0, 200), 0) // no room yet
+	for range 60 {
+		a.Leave("maps", time.Millisecond)
+		enter("maps", 0, 1)
+		enter("orders", 0, 1)
+	}
+	// Once others ask, the service above its share gets nothing of what it leaves.
+	for range 60 {
+		a.Leave("maps", time.Millisecond)
+	}
+	is.Equal(enter("orders", 0, 200) >= 45, true)
+	is.Equal(a.InFlight() <= 100, true)
+}
+
+func TestAdmissionLimitsAndRetryAfter(t *testing.T) {
+	is := is.New(t)
+	var a request.Admission
+	_, _, ok := a.Enter(epoch, "orders", 1)
+	is.True(ok)
+	reason, retryAfter, ok := a.Enter(epoch, "orders", 1)
+	is.True(!ok)
+	is.Equal(reason, request.ReasonServiceFull)
+	is.Equal(retryAfter, time.Second)
+	for range 100 {
+		a.Leave("orders", 5*time.Second)
+		_, _, ok = a.Enter(epoch, "orders", 1)
+		is.True(ok)
+	}
+	_, retryAfter, _ = a.Enter(epoch, "orders", 1)
+	is.Equal(retryAfter, 5*time.Second)
+}
--- /dev/null
+++ b/request/example_test.go
@@ -0,0 +1,62 @@
+package request_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/rattanthread/rattanthread/request"
+)
+
+func ExampleParseKey() {
+	key, err := request.ParseKey("tainan/019ca945-105b-745c-b7e3-424968ee179d")
+	fmt.Println(key.DataCentre, key.Issued().UTC().Format(time.RFC3339), err)
+	_, err = request.ParseKey("019ca945-105b-445c-b7e3-424968ee179d")
+	fmt.Println(err)
+	// Output:
+	// tainan 2026-03-01T12:00:01Z <nil>
+	// parse key: UUID of version 4, want 7
+}
+
+func ExampleBudget() {
+	var b request.Budget // one retry for ten first tries
+	retries := 0
+	for range 100 {
+		b.Deposit()
+		if b.Withdraw() {
+			retries++
+		}
+	}
+	fmt.Println(retries)
+	// Output: 10
+}
+
+func ExampleBackoff_Delay() {
+	b := request.Backoff{Base: 20 * time.Millisecond, Max: 100 * time.Millisecond}
+	for tries := 1; tries <= 4; tries++ {
+		fmt.Println(b.Delay(tries, 0.5))
+	}
+	// Output:
+	// 10ms
+	// 20ms
+	// 40ms
+	// 50ms
+}
+
+func ExampleRetries_Next() {
+	now := time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
+	var r request.Retries
+	b := &request.Budget{Ratio: 1}
+	b.Deposit()
+	try := request.Try{Number: 1, Deadline: now.Add(time.Second)}
+	_, reason, again := r.Next(now, try, b, 0.5)
+	fmt.Println(again, reason)
+	try.NotRun = true
+	delay, reason, again := r.Next(now, try, b, 0.5)
+	fmt.Println(again, reason, delay)
+	_, reason, again = r.Next(now, try, b, 0.5)
+	fmt.Println(again, reason)
+	// Output:
+	// false not_retryable
+	// true not_run 10ms
+	// false retry_budget
+}
