request: Compare digests of members, and pass on who is gone

Cause: a lease ask listed all members, too much for a large data centre; and a goodbye lost on its way to one peer kept the others from a lease until the stopped host was forgotten. Change: asks carry a digest, lists follow only after a difference, and a host tells a peer that counts a gone member. Conclusion: the members converge by the lease traffic itself.

--- a/request/faults_test.go
+++ b/request/faults_test.go
@@ -255,3 +255,22 @@
 	home, _, _ := s.roles(s.key)
 	return home
 }
+
+// TestLostGoodbye stops a host whose goodbye does not reach one of its peers.
+// The others must be able to decide on all keys soon after.
+func TestLostGoodbye(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(6) {
+		c := newCluster(seed, 1, 3)
+		stopping, deaf := c.nodes[seed%3], c.nodes[(seed+1)%3]
+		c.side[deaf.id] = 1
+		c.apply(stopping, stopping.keys.Stop(c.now))
+		c.run(20 * time.Millisecond)
+		clear(c.side)
+		stopping.up = false
+		c.run(2 * time.Second)
+		for _, n := range c.nodes {
+			is.Equal(n.keys.Ready(c.now), n != stopping)
+		}
+	}
+}
--- a/request/keys.go
+++ b/request/keys.go
@@ -107,13 +107,13 @@
 	case *LeaseAsk:
 		return k.leaseAsked(now, from, m)
 	case *LeasePromise:
-		k.leasePromised(now, from, m)
+		return k.leasePromised(now, from, m)
 	case *HistoryAsk:
 		return k.historyAsked(now, from, m)
 	case *HistoryPart:
 		return k.historyReceived(now, from, m)
 	case *KeysLeave:
-		k.lease.leave(Member{Host: from, Incarnation: m.Incarnation})
+		k.lease.leave(m.Member)
 	}
 	return Effects{}
 }
@@ -145,7 +145,7 @@
 	k.stopped = true
 	for _, m := range k.ring {
 		if m != k.self {
-			e.send(m.Host, &KeysLeave{Incarnation: k.self.Incarnation})
+			e.send(m.Host, &KeysLeave{Member: k.self})
 		}
 	}
 	return e
--- a/request/lease.go
+++ b/request/lease.go
@@ -18,6 +18,7 @@
 	sent      map[uint64]time.Time
 	confirmed map[fleet.HostID]time.Time // until when each promise holds
 	asked     time.Time
+	differs   map[fleet.HostID]bool // peers that believe in other members
 
 	// As the one who promises.
 	given map[fleet.HostID]givenPromise
@@ -42,6 +43,7 @@
 	l.known = make(map[fleet.HostID]knownHost)
 	l.left = make(map[Member]bool)
 	l.given = make(map[fleet.HostID]givenPromise)
+	l.differs = make(map[fleet.HostID]bool)
 	l.reset()
 }
 
@@ -120,18 +122,14 @@
 	}
 }
 
-// knowsAll reports whether the receiver knows no member that is missing in members.
-func (l *lease) knowsAll(members []KnownMember) bool {
-	listed := make(map[Member]bool, len(members))
-	for _, m := range members {
-		listed[m.Member] = true
-	}
+// digest returns the hash of the known members.
+func (l *lease) digest() RingID {
+	var r Ring
 	for _, h := range l.known {
-		if !listed[h.member] {
-			return false
-		}
+		r = append(r, h.member)
 	}
-	return true
+	r.sort()
+	return r.ID()
 }
 
 // askLease asks all members for promises, several times in the life of one.
@@ -145,16 +143,18 @@
 	l.number++
 	l.sent[l.number] = now
 	delete(l.sent, l.number-pendingAsks)
-	m := &LeaseAsk{
-		Ring:        k.ringID,
-		Incarnation: k.self.Incarnation,
-		Number:      l.number,
-		Members:     l.members(now),
-	}
+	m := LeaseAsk{Ring: k.ringID, Incarnation: k.self.Incarnation, Number: l.number, Digest: l.digest()}
+	full := m
+	full.Members = l.members(now)
 	var e Effects
 	for _, member := range k.ring {
-		e.merge(k.deliver(now, member.Host, m))
+		ask := &m
+		if l.differs[member.Host] {
+			ask = &full
+		}
+		e.merge(k.deliver(now, member.Host, ask))
 	}
+	clear(l.differs)
 	return e
 }
 
@@ -165,6 +165,7 @@
 	if repeated || l.left[Member{Host: from, Incarnation: m.Incarnation}] {
 		return Effects{}
 	}
+	l.learn(now, m.Members)
 	answer := &LeasePromise{Ring: m.Ring, Number: m.Number}
 	answer.Given = k.mayPromise(now, from, m)
 	if answer.Given {
@@ -188,7 +189,7 @@
 	if k.stopped || m.Ring != k.ringID || now.Sub(k.started) < k.limits().LeaseTime {
 		return false
 	}
-	if !k.lease.knowsAll(m.Members) {
+	if k.lease.digest() != m.Digest {
 		return false
 	}
 	for host, g := range k.lease.given {
@@ -199,15 +200,16 @@
 	return true
 }
 
-func (k *Keys) leasePromised(now time.Time, from fleet.HostID, m *LeasePromise) {
+func (k *Keys) leasePromised(now time.Time, from fleet.HostID, m *LeasePromise) Effects {
 	l := &k.lease
 	if !m.Given {
 		l.learn(now, m.Members)
-		return
+		l.differs[from] = true
+		return k.tellGone(from, m.Members)
 	}
 	sent, ok := l.sent[m.Number]
 	if !ok || m.Ring != k.ringID {
-		return
+		return Effects{}
 	}
 	until := sent.Add(k.limits().LeaseTime)
 	if until.After(l.confirmed[from]) {
@@ -217,4 +219,17 @@
 		k.history.peerSettled[from] = true
 		k.dropRings()
 	}
+	return Effects{}
+}
+
+// tellGone tells a peer which of its members are gone, as it may have missed
+// their own message.
+func (k *Keys) tellGone(to fleet.HostID, members []KnownMember) Effects {
+	var e Effects
+	for _, m := range members {
+		if k.lease.left[m.Member] {
+			e.send(to, &KeysLeave{Member: m.Member})
+		}
+	}
+	return e
 }
--- a/request/message.go
+++ b/request/message.go
@@ -74,11 +74,14 @@
 	Ring        RingID            `cbor:"ring"`
 	Incarnation fleet.Incarnation `cbor:"incarnation"`
 	Number      uint64            `cbor:"number"`
-	Members     []KnownMember     `cbor:"members"`
+	// Digest is of the members that the sender believes may be running. Members
+	// lists them after the receiver has told that it believes otherwise.
+	Digest  RingID        `cbor:"digest"`
+	Members []KnownMember `cbor:"members"`
 }
 
 // LeasePromise answers a LeaseAsk. If Given is not set, Members tells which
-// hosts the receiver may not know.
+// members the sender believes may be running.
 type LeasePromise struct {
 	Ring    RingID        `cbor:"ring"`
 	Number  uint64        `cbor:"number"`
@@ -110,9 +113,10 @@
 	Gaps     []Gap  `cbor:"gaps"`
 }
 
-// KeysLeave tells that the sender stops as planned and acts as owner no more.
+// KeysLeave tells that a member has stopped as planned, or is known to be gone,
+// and acts as owner no more.
 type KeysLeave struct {
-	Incarnation fleet.Incarnation `cbor:"incarnation"`
+	Member Member `cbor:"member"`
 }
 
 // Kind implements fleet.Message.
--- a/request/ring.go
+++ b/request/ring.go
@@ -37,10 +37,14 @@
 			r = append(r, Member{Host: h.ID, Incarnation: h.Incarnation})
 		}
 	}
-	slices.SortFunc(r, func(a, b Member) int { return strings.Compare(string(a.Host), string(b.Host)) })
+	r.sort()
 	return r
 }
 
+func (r Ring) sort() {
+	slices.SortFunc(r, func(a, b Member) int { return strings.Compare(string(a.Host), string(b.Host)) })
+}
+
 // ID returns the hash of the members and their incarnations.
 func (r Ring) ID() RingID {
 	var d xxhash.Digest
