request: Add the fault that shows rings dropped too early

Change: a fault that replaces the owner and pauses the successor 600 ms later, before the new owner has fetched.

--- a/request/faults_test.go
+++ b/request/faults_test.go
@@ -106,6 +106,10 @@
 		s.pause(s.owner, 1500*time.Millisecond)
 		s.replace(s.successor)
 	}},
+	{"owner replaced, then successor paused", func(s *scene) {
+		s.replace(s.owner)
+		s.after(600*time.Millisecond, func() { s.pause(s.successor, 900*time.Millisecond) })
+	}},
 	{"all of the home replaced", func(s *scene) {
 		for _, n := range s.home() {
 			s.replace(n)
