door, request: Keep a refusal true after an unknown try

Cause: an idempotent request whose first try may have run was called refused if the last try was refused; and tombstones of hosts that left were kept for ever.

--- a/door/door_test.go
+++ b/door/door_test.go
@@ -98,7 +98,9 @@
 	if err := s.Register(s.metrics); err != nil {
 		t.Fatal(err)
 	}
-	front := httptest.NewServer(s.Door)
+	front := httptest.NewUnstartedServer(nil)
+	front.Config = s.Server()
+	front.Start()
 	t.Cleanup(front.Close)
 	s.url = front.URL
 	return s
@@ -330,6 +332,15 @@
 	is.Equal(s.ran.Load(), int64(2))
 }
 
+// TestRefusalAfterAnUnknownTry has the last try refused, but not the first.
+func TestRefusalAfterAnUnknownTry(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, raw(""), shed)
+	r := s.call(t.Context(), "GET", "")
+	is.Equal(r.outcome, "unknown")
+	is.Equal(s.ran.Load(), int64(2))
+}
+
 func TestLongAnswerCutAbortsConnection(t *testing.T) {
 	is := is.New(t)
 	s := newSite(t, raw("HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n"+strings.Repeat("x", 4000)))
--- a/door/exchange.go
+++ b/door/exchange.go
@@ -102,10 +102,11 @@
 	budget := x.budget()
 	budget.Deposit()
 	var tried []backend.Candidate
+	mayHaveRun := false
 	for try := 1; ; try++ {
 		server, ok := x.pick(tried)
 		if !ok {
-			return x.fail(refuseForNow(ReasonNoServer, time.Second))
+			return x.fail(failure{notRun: !mayHaveRun, reason: ReasonNoServer}.ending(ctx))
 		}
 		tried = append(tried, server.Candidate)
 		a := x.try(ctx, server)
@@ -113,6 +114,7 @@
 			return x.deliver(a)
 		}
 		f := *a.failure
+		mayHaveRun = mayHaveRun || !f.notRun
 		delay, reason, again := x.door.Retries.Next(x.door.Now(), request.Try{
 			Number:     try,
 			NotRun:     f.notRun,
@@ -124,6 +126,7 @@
 		}
 		if !again {
 			x.door.counters().stopped.WithLabelValues(string(x.service.Name), string(reason)).Inc()
+			f.notRun = !mayHaveRun
 			return x.fail(f.ending(ctx))
 		}
 		x.door.counters().retries.WithLabelValues(string(x.service.Name), string(reason)).Inc()
--- a/request/keys.go
+++ b/request/keys.go
@@ -113,7 +113,7 @@
 	case *HistoryPart:
 		return k.historyReceived(now, from, m)
 	case *KeysLeave:
-		k.lease.leave(m.Member)
+		k.lease.leave(now, m.Member)
 	}
 	return Effects{}
 }
--- a/request/lease.go
+++ b/request/lease.go
@@ -11,7 +11,7 @@
 // hosts never act by different rings.
 type lease struct {
 	known map[fleet.HostID]knownHost
-	left  map[Member]bool // stopped as planned, or confirmed gone
+	left  map[Member]time.Time // stopped as planned, or confirmed gone; by when noted
 
 	// As the one who asks.
 	number    uint64
@@ -41,7 +41,7 @@
 
 func (l *lease) start() {
 	l.known = make(map[fleet.HostID]knownHost)
-	l.left = make(map[Member]bool)
+	l.left = make(map[Member]time.Time)
 	l.given = make(map[fleet.HostID]givenPromise)
 	l.differs = make(map[fleet.HostID]bool)
 	l.reset()
@@ -60,7 +60,13 @@
 		l.see(m, now)
 	}
 	for _, m := range gone {
-		l.leave(m)
+		l.leave(now, m)
+	}
+	for m, at := range l.left {
+		// By then every host has forgotten it anyway.
+		if now.Sub(at) > 2*limits.ForgetAfter {
+			delete(l.left, m)
+		}
 	}
 	for host, h := range l.known {
 		if now.Sub(h.seen) > limits.ForgetAfter {
@@ -71,7 +77,7 @@
 
 func (l *lease) see(m Member, at time.Time) {
 	old, ok := l.known[m.Host]
-	if l.left[m] || ok && old.member.Incarnation > m.Incarnation {
+	if l.hasLeft(m) || ok && old.member.Incarnation > m.Incarnation {
 		return
 	}
 	if old.member != m || old.seen.Before(at) {
@@ -79,8 +85,13 @@
 	}
 }
 
-func (l *lease) leave(m Member) {
-	l.left[m] = true
+func (l *lease) hasLeft(m Member) bool {
+	_, ok := l.left[m]
+	return ok
+}
+
+func (l *lease) leave(now time.Time, m Member) {
+	l.left[m] = now
 	if l.known[m.Host].member == m {
 		delete(l.known, m.Host)
 	}
@@ -162,7 +173,7 @@
 	l := &k.lease
 	old := l.given[from]
 	repeated := m.Incarnation < old.incarnation || m.Incarnation == old.incarnation && m.Number <= old.number
-	if repeated || l.left[Member{Host: from, Incarnation: m.Incarnation}] {
+	if repeated || l.hasLeft(Member{Host: from, Incarnation: m.Incarnation}) {
 		return Effects{}
 	}
 	l.learn(now, m.Members)
@@ -227,7 +238,7 @@
 func (k *Keys) tellGone(to fleet.HostID, members []KnownMember) Effects {
 	var e Effects
 	for _, m := range members {
-		if k.lease.left[m.Member] {
+		if k.lease.hasLeft(m.Member) {
 			e.send(to, &KeysLeave{Member: m.Member})
 		}
 	}
