--- a/request/lease.go
+++ b/request/lease.go
@@ -11,13 +11,14 @@
 // hosts never act by different rings.
 type lease struct {
 	known map[fleet.HostID]knownHost
-	left  map[Member]bool // stopped as planned, or confirmed gone
+	left  map[Member]time.Time // stopped as planned, or confirmed gone; by when noted
 
 	// As the one who asks.
 	number    uint64
 	sent      map[uint64]time.Time
 	confirmed map[fleet.HostID]time.Time // until when each promise holds
 	asked     time.Time
+	differs   map[fleet.HostID]bool // peers that believe in other members
 
 	// As the one who promises.
 	given map[fleet.HostID]givenPromise
@@ -40,8 +41,9 @@
 
 func (l *lease) start() {
 	l.known = make(map[fleet.HostID]knownHost)
-	l.left = make(map[Member]bool)
+	l.left = make(map[Member]time.Time)
 	l.given = make(map[fleet.HostID]givenPromise)
+	l.differs = make(map[fleet.HostID]bool)
 	l.reset()
 }
 
@@ -58,7 +60,13 @@
 		l.see(m, now)
 	}
 	for _, m := range gone {
-		l.leave(m)
+		l.leave(now, m)
+	}
+	for m, at := range l.left {
+		// By then every host has forgotten it anyway.
+		if now.Sub(at) > 2*limits.ForgetAfter {
+			delete(l.left, m)
+		}
 	}
 	for host, h := range l.known {
 		if now.Sub(h.seen) > limits.ForgetAfter {
@@ -69,7 +77,7 @@
 
 func (l *lease) see(m Member, at time.Time) {
 	old, ok := l.known[m.Host]
-	if l.left[m] || ok && old.member.Incarnation > m.Incarnation {
+	if l.hasLeft(m) || ok && old.member.Incarnation > m.Incarnation {
 		return
 	}
 	if old.member != m || old.seen.Before(at) {
@@ -77,8 +85,13 @@
 	}
 }
 
-func (l *lease) leave(m Member) {
-	l.left[m] = true
+func (l *lease) hasLeft(m Member) bool {
+	_, ok := l.left[m]
+	return ok
+}
+
+func (l *lease) leave(now time.Time, m Member) {
+	l.left[m] = now
 	if l.known[m.Host].member == m {
 		delete(l.known, m.Host)
 	}
@@ -120,18 +133,14 @@
 	}
 }
 
-// knowsAll reports whether the receiver knows no member that is missing in members.
-func (l *lease) knowsAll(members []KnownMember) bool {
-	listed := make(map[Member]bool, len(members))
-	for _, m := range members {
-		listed[m.Member] = true
-	}
+// digest returns the hash of the known members.
+func (l *lease) digest() RingID {
+	var r Ring
 	for _, h := range l.known {
-		if !listed[h.member] {
-			return false
-		}
+		r = append(r, h.member)
 	}
-	return true
+	r.sort()
+	return r.ID()
 }
 
 // askLease asks all members for promises, several times in the life of one.
@@ -145,16 +154,18 @@
 	l.number++
 	l.sent[l.number] = now
 	delete(l.sent, l.number-pendingAsks)
-	m := &LeaseAsk{
-		Ring:        k.ringID,
-		Incarnation: k.self.Incarnation,
-		Number:      l.number,
-		Members:     l.members(now),
-	}
+	m := LeaseAsk{Ring: k.ringID, Incarnation: k.self.Incarnation, Number: l.number, Digest: l.digest()}
+	full := m
+	full.Members = l.members(now)
 	var e Effects
 	for _, member := range k.ring {
-		e.merge(k.deliver(now, member.Host, m))
+		ask := &m
+		if l.differs[member.Host] {
+			ask = &full
+		}
+		e.merge(k.deliver(now, member.Host, ask))
 	}
+	clear(l.differs)
 	return e
 }
 
@@ -162,9 +173,10 @@
 	l := &k.lease
 	old := l.given[from]
 	repeated := m.Incarnation < old.incarnation || m.Incarnation == old.incarnation && m.Number <= old.number
-	if repeated || l.left[Member{Host: from, Incarnation: m.Incarnation}] {
+	if repeated || l.hasLeft(Member{Host: from, Incarnation: m.Incarnation}) {
 		return Effects{}
 	}
+	l.learn(now, m.Members)
 	answer := &LeasePromise{Ring: m.Ring, Number: m.Number}
 	answer.Given = k.mayPromise(now, from, m)
 	if answer.Given {
@@ -188,7 +200,7 @@
 	if k.stopped || m.Ring != k.ringID || now.Sub(k.started) < k.limits().LeaseTime {
 		return false
 	}
-	if !k.lease.knowsAll(m.Members) {
+	if k.lease.digest() != m.Digest {
 		return false
 	}
 	for host, g := range k.lease.given {
@@ -199,15 +211,16 @@
 	return true
 }
 
-func (k *Keys) leasePromised(now time.Time, from fleet.HostID, m *LeasePromise) {
+func (k *Keys) leasePromised(now time.Time, from fleet.HostID, m *LeasePromise) Effects {
 	l := &k.lease
 	if !m.Given {
 		l.learn(now, m.Members)
-		return
+		l.differs[from] = true
+		return k.tellGone(from, m.Members)
 	}
 	sent, ok := l.sent[m.Number]
 	if !ok || m.Ring != k.ringID {
-		return
+		return Effects{}
 	}
 	until := sent.Add(k.limits().LeaseTime)
 	if until.After(l.confirmed[from]) {
@@ -217,4 +230,17 @@
 		k.history.peerSettled[from] = true
 		k.dropRings()
 	}
+	return Effects{}
+}
+
+// tellGone tells a peer which of its members are gone, as it may have missed
+// their own message.
+func (k *Keys) tellGone(to fleet.HostID, members []KnownMember) Effects {
+	var e Effects
+	for _, m := range members {
+		if k.lease.hasLeft(m.Member) {
+			e.send(to, &KeysLeave{Member: m.Member})
+		}
+	}
+	return e
 }
