--- a/peer/hub_test.go
+++ b/peer/hub_test.go
@@ -7,6 +7,7 @@
 	"reflect"
 	"runtime"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -175,6 +176,22 @@
 	is.True(a.count("reconnects_total", "") > 0)
 }
 
+// TestIdleLinkEnds has a link closed and opened again, which dials once more.
+func TestIdleLinkEnds(t *testing.T) {
+	is := is.New(t)
+	book := map[fleet.HostID]netip.AddrPort{}
+	a, b := serve(t, "a", book, peer.Limits{Idle: time.Nanosecond}), serve(t, "b", book, peer.Limits{})
+	address := a.Address
+	var dials atomic.Int32
+	a.Address = func(id fleet.HostID) (netip.AddrPort, bool) {
+		dials.Add(1)
+		return address(id)
+	}
+	for dials.Load() < 3 {
+		is.Equal(exchange(a, b, &note{"x"}).from, fleet.HostID("a"))
+	}
+}
+
 func TestSendNeverBlocks(t *testing.T) {
 	is := is.New(t)
 	book := map[fleet.HostID]netip.AddrPort{}
