Log when a peer goes out of reach, and bound the HTTP side of links

Cause: a link's state changed without a line in the log, net/http wrote lines of its own, and a restarted host could not learn which incarnation to exceed. Change: one line per change of state, net/http's lines at trace level, bounds of header size and idle time, SupersededBy, and a panic when two types of message claim one kind. Conclusion: tests pass with the race detector.

--- a/membership/bench_test.go
+++ b/membership/bench_test.go
@@ -5,7 +5,6 @@
 	"testing"
 	"time"
 
-	"github.com/rattanthread/rattanthread/fleet"
 	"github.com/rattanthread/rattanthread/membership"
 )
 
@@ -27,16 +26,14 @@
 					n.loss = loss
 					n.run(5 * time.Second)
 					before := n.bytes()
-					suspicions := n.total(func(c membership.Counts) uint64 { return c.Suspicions })
-					failures := n.total(func(c membership.Counts) uint64 { return c.Failures })
-					deaths := n.total(func(c membership.Counts) uint64 { return c.Deaths })
+					suspected, failed, died := n.total(suspicions), n.total(failures), n.total(deaths)
 					const window = 30
 					n.run(window * time.Second)
 					perHost := float64(s.hosts) * window
 					b.ReportMetric(float64(n.bytes()-before)/perHost, "B/s/host")
-					b.ReportMetric(float64(n.total(func(c membership.Counts) uint64 { return c.Failures })-failures)/window, "failed-probes/s")
-					b.ReportMetric(float64(n.total(func(c membership.Counts) uint64 { return c.Suspicions })-suspicions)/window, "suspicions/s")
-					b.ReportMetric(float64(n.total(func(c membership.Counts) uint64 { return c.Deaths })-deaths), "deaths")
+					b.ReportMetric(float64(n.total(failures)-failed)/window, "failed-probes/s")
+					b.ReportMetric(float64(n.total(suspicions)-suspected)/window, "suspicions/s")
+					b.ReportMetric(float64(n.total(deaths)-died), "deaths")
 				}
 			})
 		}
@@ -119,8 +116,7 @@
 				n := newNetwork(uint64(i)+1, s.hosts, s.centres)
 				n.until(time.Minute, n.whole)
 				n.run(quiet)
-				sameSide := func(from, to fleet.HostID) bool { return (from[5] == 'a') == (to[5] == 'a') }
-				n.cut = func(from, to fleet.HostID) bool { return !sameSide(from, to) }
+				n.cut = acrossSides
 				before := n.bytes()
 				split := n.until(time.Minute, func() bool { return n.agreed(sameSide) })
 				b.ReportMetric(split.Seconds(), "split-s")
--- a/membership/claim.go
+++ b/membership/claim.go
@@ -108,7 +108,7 @@
 		return false
 	}
 	if c.Incarnation > t.Self.Incarnation {
-		t.superseded = true
+		t.superseded = max(t.superseded, c.Incarnation)
 		return false
 	}
 	if c.Incarnation < t.Self.Incarnation || c.Refutation < t.me.refutation || c.Status < Suspect {
--- a/membership/network_test.go
+++ b/membership/network_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"reflect"
 	"slices"
 	"strings"
 	"time"
@@ -29,7 +30,6 @@
 	asleep bool          // paused; what arrives waits
 	inbox  []delivery
 	bytes  int // sent
-	sent   int // messages
 	long   int // bytes of the longest message that is sent without being asked for
 }
 
@@ -157,7 +157,6 @@
 			panic(err)
 		}
 		n.nodes[from].bytes += len(b) + overhead
-		n.nodes[from].sent++
 		if _, ok := s.Message.(*membership.Snapshot); !ok {
 			n.nodes[from].long = max(n.nodes[from].long, len(b)+overhead)
 		}
@@ -171,12 +170,7 @@
 
 // decoded returns a copy, as the receiver would see it.
 func decoded(m fleet.Message, b []byte) fleet.Message {
-	var c fleet.Message
-	for _, k := range membership.Messages() {
-		if k.Kind() == m.Kind() {
-			c = k
-		}
-	}
+	c := reflect.New(reflect.TypeOf(m).Elem()).Interface().(fleet.Message)
 	if err := cbor.Unmarshal(b, c); err != nil {
 		panic(err)
 	}
@@ -222,6 +216,11 @@
 	return true
 }
 
+// sameSide reports whether neither or both hosts are in the first data centre.
+func sameSide(a, b fleet.HostID) bool { return (a[5] == 'a') == (b[5] == 'a') }
+
+func acrossSides(from, to fleet.HostID) bool { return !sameSide(from, to) }
+
 func (n *network) whole() bool {
 	return n.agreed(func(_, _ fleet.HostID) bool { return true })
 }
--- a/membership/pause.go
+++ b/membership/pause.go
@@ -20,7 +20,7 @@
 // decide anything that its earlier ownership or leases allowed. It may be
 // called before the first Tick after the pause.
 func (t *Table) Stale(now time.Time) bool {
-	return t.superseded || t.pause.stale || t.paused(now)
+	return t.Superseded() || t.pause.stale || t.paused(now)
 }
 
 // Confirm records that the platform has confirmed, by an answer to a call made
--- a/membership/table.go
+++ b/membership/table.go
@@ -50,7 +50,7 @@
 	nextSync   time.Time
 	synced     bool // this table has agreed with that of a peer
 	left       bool
-	superseded bool
+	superseded fleet.Incarnation // a later life of this host, or 0
 }
 
 // State is the version of the view that a host works by.
@@ -219,7 +219,11 @@
 
 // Superseded reports whether a later incarnation of this host is known. Such a
 // host must stop.
-func (t *Table) Superseded() bool { return t.superseded }
+func (t *Table) Superseded() bool { return t.superseded > 0 }
+
+// SupersededBy returns the highest later incarnation of this host that is known,
+// or 0. A restart has to take a higher one, even when the clock has gone back.
+func (t *Table) SupersededBy() fleet.Incarnation { return t.superseded }
 
 // forget drops the dead and the departed after a while, and candidates that no
 // hint names any more.
--- a/membership/table_test.go
+++ b/membership/table_test.go
@@ -42,9 +42,9 @@
 	}
 }
 
-func deaths(c membership.Counts) uint64        { return c.Deaths }
-func suspicions(c membership.Counts) uint64    { return c.Suspicions }
-func interruptions(c membership.Counts) uint64 { return c.Interruptions }
+func deaths(c membership.Counts) uint64     { return c.Deaths }
+func suspicions(c membership.Counts) uint64 { return c.Suspicions }
+func failures(c membership.Counts) uint64   { return c.Failures }
 
 func TestCrashIsDetected(t *testing.T) {
 	each(t, func(is *is.I, n *network) {
@@ -89,8 +89,7 @@
 
 func TestPartition(t *testing.T) {
 	each(t, func(is *is.I, n *network) {
-		sameSide := func(a, b fleet.HostID) bool { return (a[5] == 'a') == (b[5] == 'a') }
-		n.cut = func(from, to fleet.HostID) bool { return !sameSide(from, to) }
+		n.cut = acrossSides
 		n.run(settled)
 		is.True(n.agreed(sameSide))
 		for _, x := range n.nodes {
@@ -111,7 +110,7 @@
 func TestMessagesFitDatagrams(t *testing.T) {
 	n := newNetwork(1, 60, 4)
 	n.run(5 * time.Second)
-	n.cut = func(from, to fleet.HostID) bool { return (from[5] == 'a') != (to[5] == 'a') }
+	n.cut = acrossSides
 	n.run(5 * time.Second)
 	for _, id := range n.order {
 		n.nodes[id].table.SetLocal(n.now, membership.State{Revision: 2, Digest: 1 << 63})
@@ -135,19 +134,24 @@
 	})
 }
 
+// guard makes the test fail when any host but one loses another.
+func (n *network) guard(t *testing.T, except fleet.HostID) {
+	n.after = func() {
+		for _, id := range n.order {
+			if live := len(n.nodes[id].table.Live()); id != except && live < 8 {
+				t.Fatalf("%s holds %d hosts live", id, live)
+			}
+		}
+	}
+}
+
 // TestDeafHost lets a host send and not receive: it is removed, and its own
 // opinion of the others does no harm.
 func TestDeafHost(t *testing.T) {
 	each(t, func(is *is.I, n *network) {
 		deaf := n.order[3]
 		n.cut = func(_, to fleet.HostID) bool { return to == deaf }
-		n.after = func() {
-			for _, id := range n.order {
-				if id != deaf && len(n.nodes[id].table.Live()) < 8 {
-					t.Fatalf("%s holds %d hosts live", id, len(n.nodes[id].table.Live()))
-				}
-			}
-		}
+		n.guard(t, deaf)
 		n.run(time.Minute)
 		for _, id := range n.order {
 			is.True(id == deaf || !n.holds(id, deaf))
@@ -163,13 +167,7 @@
 		flapping := n.order[3]
 		off := false
 		n.cut = func(from, to fleet.HostID) bool { return off && (from == flapping || to == flapping) }
-		n.after = func() {
-			for _, id := range n.order {
-				if id != flapping && len(n.nodes[id].table.Live()) < 8 {
-					t.Fatalf("%s holds %d hosts live", id, len(n.nodes[id].table.Live()))
-				}
-			}
-		}
+		n.guard(t, flapping)
 		for range 20 {
 			off = !off
 			n.run(time.Duration(500+n.random.IntN(5000)) * time.Millisecond)
--- a/peer/link.go
+++ b/peer/link.go
@@ -29,6 +29,7 @@
 	queue   chan queued
 	conn    *websocket.Conn
 	backoff time.Duration
+	failing bool // the last message failed
 }
 
 // run sends what is queued until the link is idle or ctx ends.
@@ -79,6 +80,7 @@
 	if reason == ReasonWrite && reused {
 		reason = l.try(ctx, q)
 	}
+	l.report(reason)
 	if reason == "" {
 		l.backoff = 0
 		return
@@ -90,6 +92,20 @@
 	}
 }
 
+// report logs when the peer begins or ceases to be out of reach.
+func (l *link) report(reason Reason) {
+	failing := reason != ""
+	if failing == l.failing {
+		return
+	}
+	l.failing = failing
+	if failing {
+		l.hub.Logger.Warn("peer out of reach", "peer", l.to, "reason", reason)
+		return
+	}
+	l.hub.Logger.Info("peer in reach again", "peer", l.to)
+}
+
 // drain drops what was queued while the peer could not be reached, so that what
 // it gets next is new.
 func (l *link) drain(r Reason) {
--- a/peer/registry.go
+++ b/peer/registry.go
@@ -12,13 +12,18 @@
 	types map[fleet.MessageKind]reflect.Type
 }
 
-// Add registers the kinds of messages, which must be pointers to structs.
+// Add registers the kinds of messages, which must be pointers to structs. It
+// panics when two types claim one kind, since their packages cannot both be right.
 func (r *Registry) Add(messages ...fleet.Message) {
 	if r.types == nil {
 		r.types = make(map[fleet.MessageKind]reflect.Type)
 	}
 	for _, m := range messages {
-		r.types[m.Kind()] = reflect.TypeOf(m).Elem()
+		t := reflect.TypeOf(m).Elem()
+		if other, ok := r.types[m.Kind()]; ok && other != t {
+			panic("peer: both " + other.String() + " and " + t.String() + " are " + string(m.Kind()))
+		}
+		r.types[m.Kind()] = t
 	}
 }
 
--- a/peer/server.go
+++ b/peer/server.go
@@ -6,8 +6,12 @@
 	"net/http"
 
 	"github.com/go-faster/errors"
+	"github.com/hashicorp/go-hclog"
 )
 
+// maxHeaderBytes bounds the HTTP request that opens a link.
+const maxHeaderBytes = 4 << 10
+
 // serveLinks accepts links from peers until ctx ends.
 func (h *Hub) serveLinks(ctx context.Context, listener net.Listener) error {
 	mux := http.NewServeMux()
@@ -15,6 +19,9 @@
 	server := &http.Server{
 		Handler:           mux,
 		ReadHeaderTimeout: h.limits.Handshake,
+		IdleTimeout:       h.limits.Handshake,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          h.Logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Trace}),
 		BaseContext:       func(net.Listener) context.Context { return ctx },
 	}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
