--- a/membership/table_test.go
+++ b/membership/table_test.go
@@ -346,3 +346,42 @@
 		})
 	}
 }
+
+// TestFaultsTogether lets faults of all kinds come in any order and together.
+// Once they have ended, the hosts agree and settle on a new state.
+func TestFaultsTogether(t *testing.T) {
+	for seed := range uint64(10) {
+		is := is.New(t)
+		n := newNetwork(seed, 12, 3)
+		n.until(settled, n.whole)
+		incarnation := fleet.Incarnation(1_700_000_000_000)
+		for range 15 {
+			i := n.random.IntN(len(n.order))
+			id := n.order[i]
+			faults := []func(){
+				func() { n.nodes[id].down = true },
+				func() { incarnation++; n.add(host(i, 3, incarnation), []fleet.Host{host(0, 3, 0), host(1, 3, 0)}) },
+				func() { n.nodes[id].asleep = true },
+				func() { n.wake(id) },
+				func() { n.loss = 0.3 - n.loss },
+				func() { n.cut = acrossSides },
+				func() { n.cut = nil },
+			}
+			faults[n.random.IntN(len(faults))]()
+			n.run(time.Duration(n.random.IntN(4000)) * time.Millisecond)
+		}
+		n.loss, n.cut = 0, nil
+		for _, id := range n.order {
+			n.wake(id)
+		}
+		n.run(settled)
+		is.True(n.whole())
+		state := membership.State{Revision: 9, Digest: seed}
+		for _, id := range n.order {
+			n.nodes[id].table.SetLocal(n.now, state)
+			is.True(n.nodes[id].down || !n.nodes[id].table.Stale(n.now))
+		}
+		n.run(3 * time.Second) // less than the bounded wait
+		is.True(n.settled(state))
+	}
+}
