--- a/membership/network_test.go
+++ b/membership/network_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"reflect"
 	"slices"
 	"strings"
 	"time"
@@ -29,7 +30,6 @@
 	asleep bool          // paused; what arrives waits
 	inbox  []delivery
 	bytes  int // sent
-	sent   int // messages
 	long   int // bytes of the longest message that is sent without being asked for
 }
 
@@ -65,10 +65,8 @@
 
 func newNetwork(seed uint64, hosts, centres int) *network {
 	n := &network{
-		now:     time.Unix(1_700_000_000, 0),
-		random:  rand.New(rand.NewPCG(seed, 0)),
-		nodes:   make(map[fleet.HostID]*node),
-		pending: make(map[time.Time][]delivery),
+		now: time.Unix(1_700_000_000, 0), random: rand.New(rand.NewPCG(seed, 0)),
+		nodes: make(map[fleet.HostID]*node), pending: make(map[time.Time][]delivery),
 	}
 	var all []fleet.Host
 	for i := range hosts {
@@ -82,10 +80,8 @@
 
 func (n *network) add(h fleet.Host, hints []fleet.Host) *node {
 	random := rand.New(rand.NewPCG(n.random.Uint64(), 1))
-	x := &node{
-		table:  &membership.Table{Self: h, Random: random},
-		offset: time.Duration(n.random.IntN(50)) * time.Millisecond,
-	}
+	offset := time.Duration(n.random.IntN(50)) * time.Millisecond
+	x := &node{table: &membership.Table{Self: h, Random: random}, offset: offset}
 	x.table.Hint(n.now, hints)
 	x.table.SetLocal(n.now, membership.State{Revision: 1, Digest: 0x1234567890abcdef})
 	if n.nodes[h.ID] == nil {
@@ -157,7 +153,6 @@
 			panic(err)
 		}
 		n.nodes[from].bytes += len(b) + overhead
-		n.nodes[from].sent++
 		if _, ok := s.Message.(*membership.Snapshot); !ok {
 			n.nodes[from].long = max(n.nodes[from].long, len(b)+overhead)
 		}
@@ -171,12 +166,7 @@
 
 // decoded returns a copy, as the receiver would see it.
 func decoded(m fleet.Message, b []byte) fleet.Message {
-	var c fleet.Message
-	for _, k := range membership.Messages() {
-		if k.Kind() == m.Kind() {
-			c = k
-		}
-	}
+	c := reflect.New(reflect.TypeOf(m).Elem()).Interface().(fleet.Message)
 	if err := cbor.Unmarshal(b, c); err != nil {
 		panic(err)
 	}
@@ -222,6 +212,11 @@
 	return true
 }
 
+// sameSide reports whether neither or both hosts are in the first data centre.
+func sameSide(a, b fleet.HostID) bool { return (a[5] == 'a') == (b[5] == 'a') }
+
+func acrossSides(from, to fleet.HostID) bool { return !sameSide(from, to) }
+
 func (n *network) whole() bool {
 	return n.agreed(func(_, _ fleet.HostID) bool { return true })
 }
@@ -239,3 +234,12 @@
 	}
 	return sum
 }
+
+func (n *network) settled(s membership.State) bool {
+	for _, id := range n.order {
+		if x := n.nodes[id]; !x.down && !x.table.Settled(n.now, s) {
+			return false
+		}
+	}
+	return true
+}
--- a/peer/link.go
+++ b/peer/link.go
@@ -30,6 +30,7 @@
 	heard   chan struct{} // holds one signal that the peer was heard of
 	conn    *websocket.Conn
 	backoff time.Duration
+	failing bool // the last message failed
 }
 
 func newLink(h *Hub, to fleet.HostID) *link {
@@ -89,6 +90,7 @@
 	if reason == ReasonWrite && reused {
 		reason = l.try(ctx, q)
 	}
+	l.report(reason)
 	if reason == "" {
 		l.backoff = 0
 		return
@@ -100,6 +102,20 @@
 	}
 }
 
+// report logs when the peer begins or ceases to be out of reach.
+func (l *link) report(reason Reason) {
+	failing := reason != ""
+	if failing == l.failing {
+		return
+	}
+	l.failing = failing
+	if failing {
+		l.hub.Logger.Warn("peer out of reach", "peer", l.to, "reason", reason)
+		return
+	}
+	l.hub.Logger.Info("peer in reach again", "peer", l.to)
+}
+
 // drain drops what was queued while the peer could not be reached, so that what
 // it gets next is new.
 func (l *link) drain(r Reason) {
