Test what a new owner does before and after it has asked

Of 11 deliberate faults put into the package one at a time, the tests had missed 3: flows handed on by the new owner itself, flows handed on to an owner that still answers, and guessing before the answers are in.

--- /dev/null
+++ b/flow/takeover_test.go
@@ -0,0 +1,79 @@
+package flow_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/rattanthread/rattanthread/fleet"
+	"github.com/rattanthread/rattanthread/flow"
+)
+
+// handedTo opens flows by packets that come in at host-00 and that it hands to
+// owner. No time passes, so that none is copied.
+func (c *cluster) handedTo(owner fleet.HostID, n int) map[fleet.FlowKey]fleet.ServerID {
+	flows := make(map[fleet.FlowKey]fleet.ServerID)
+	for i := 0; len(flows) < n; i++ {
+		in := synInput
+		in.Key = testKey(i)
+		if c.routers["host-00"].Decide(c.now, &in).Host != owner {
+			continue
+		}
+		in.Handed, in.From = true, "host-00"
+		flows[in.Key] = c.routers[owner].Decide(c.now, &in).Server
+		in.SYN, in.ACK, in.Sequence = false, true, 1001
+		c.routers[owner].Decide(c.now, &in)
+	}
+	return flows
+}
+
+// next decides about the next packet of a flow at its new owner.
+func (c *cluster) next(k fleet.FlowKey) flow.Decision {
+	in := dataInput
+	in.Key = k
+	d := c.routers["host-00"].Decide(c.now, &in)
+	if d.Action != flow.HandOff {
+		return d
+	}
+	in.Handed, in.From = true, "host-00"
+	return c.routers[d.Host].Decide(c.now, &in)
+}
+
+// TestOwnerDiesBeforeCopying checks that the host which handed new flows to a
+// dead owner remembers them, and that no new owner guesses before it knows.
+func TestOwnerDiesBeforeCopying(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, chosen, 3)
+	c.drain(3)
+	c.run(settle + 2*time.Second)
+	flows := c.handedTo("host-01", 100)
+	delete(c.routers, "host-01")
+	c.hosts = []fleet.HostID{"host-00", "host-02"}
+	c.install("host-00", false)
+	c.install("host-02", false)
+	for k := range flows {
+		is.Equal(c.next(k).Reason, flow.ReasonAcquiring)
+	}
+	c.run(time.Second)
+	for k, server := range flows {
+		is.Equal(c.next(k).Server, server)
+	}
+}
+
+// TestLiveOwnerIsBelieved lets an owner give credit that its successor lacks:
+// what the owner tells goes before what the successor would have done.
+func TestLiveOwnerIsBelieved(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, chosen, 3)
+	c.server(0, 3).Admission = flow.AdmitByCredit
+	c.publish(spread)
+	c.run(settle + 2*time.Second)
+	c.routers["host-01"].Credit = func(fleet.ServerID) bool { return true }
+	flows := c.handedTo("host-01", 100)
+	c.stop("host-01")
+	for k, server := range flows {
+		is.Equal(server, c.server(0, 3).ID)
+		is.Equal(c.next(k).Server, server)
+	}
+}
