Learn split slots again after a pause, and retire by time

A host that peers took for dead while it was paused could go on deciding: Resync gives up what it decides about until a peer has answered.

The epoch is now the time of the retirement; none is left (go test ./flow -run 'Resync|FreshOwner').

--- a/flow/decision.go
+++ b/flow/decision.go
@@ -77,3 +77,12 @@
 	ReasonServerOut      Reason = "server_out"      // reset: the data centre of the flow's server was taken out
 	ReasonServerGone     Reason = "server_gone"     // reset: the flow's server is no longer configured
 )
+
+// Reasons returns all reasons, so that their counters can stand at zero.
+func Reasons() []Reason {
+	return []Reason{
+		ReasonTable, ReasonRecord, ReasonAgreed, ReasonPlaced, ReasonReused, ReasonLate, ReasonSplit,
+		ReasonUnknownAddress, ReasonNotReady, ReasonNotOwner, ReasonAcquiring, ReasonUnsettled,
+		ReasonNoServer, ReasonRecordsFull, ReasonServerOut, ReasonServerGone,
+	}
+}
--- a/flow/message.go
+++ b/flow/message.go
@@ -36,7 +36,9 @@
 }
 
 // AgreedSlots are slots that have the same agreed server since the same epoch.
-// The epoch of a slot rises by one whenever a split of it is retired.
+// The epoch of a slot is when a split of it was last retired, in seconds since
+// 1970: a host that joined since then does not know the epochs of whole slots, and
+// still gives higher ones. Clocks may differ by less than an idle timeout.
 type AgreedSlots struct {
 	_      struct{}       `cbor:",toarray"`
 	Server fleet.ServerID // empty: none
--- a/flow/router.go
+++ b/flow/router.go
@@ -70,6 +70,7 @@
 
 	view     View
 	ready    bool
+	synced   bool           // has been ready
 	owners   []fleet.HostID // live hosts, less those that leave
 	alive    map[fleet.HostID]time.Time
 	leaving  map[fleet.HostID]time.Time
--- a/flow/service.go
+++ b/flow/service.go
@@ -188,7 +188,7 @@
 // split splits the slots of a service whose agreed and target servers differ, or
 // whose target does not admit freely. A slot stays split until its owner retires it.
 func (r *Router) split(now time.Time, s *service) {
-	if s.agreed == nil || !r.ready {
+	if s.agreed == nil || !r.synced {
 		s.agreed = slices.Clone(s.target)
 		for slot := range s.splits {
 			r.dropSplit(s, slot)
--- a/flow/sweep.go
+++ b/flow/sweep.go
@@ -22,7 +22,7 @@
 			}
 		}
 		if len(over) > 0 {
-			sends = append(sends, r.retire(s, over)...)
+			sends = append(sends, r.retire(now, s, over)...)
 		}
 	}
 	return sends
@@ -49,10 +49,10 @@
 
 // retire makes slots whole and tells all peers. A peer that misses it goes on
 // handing off the packets of these slots, and they still reach the same server.
-func (r *Router) retire(s *service, slots []uint16) []fleet.Send {
+func (r *Router) retire(now time.Time, s *service, slots []uint16) []fleet.Send {
 	for _, slot := range slots {
 		s.agreed[slot] = s.target[slot]
-		s.epochs[slot]++
+		s.epochs[slot] = max(s.epochs[slot]+1, seconds(now))
 		r.dropSplit(s, slot)
 	}
 	r.stats.retired.Add(int64(len(slots)))
--- a/flow/sync.go
+++ b/flow/sync.go
@@ -54,9 +54,32 @@
 
 func (r *Router) becomeReady() {
 	r.ready = true
+	r.synced = true
 	r.dirty = true
 }
 
+// Resync makes the host learn the split slots again. It is to be called when
+// peers may have taken this host for dead: after a pause, or when it refutes a
+// suspicion. The host gives up what it decides about and drops all packets until
+// a peer has answered; it keeps its records.
+func (r *Router) Resync(now time.Time) []fleet.Send {
+	if !r.ready {
+		return nil
+	}
+	r.ready = false
+	r.sync = syncState{since: now}
+	clear(r.fetches)
+	for _, s := range r.services {
+		for _, state := range s.splits {
+			state.live.release()
+			state.fetch, state.announced, state.settled = 0, false, time.Time{}
+		}
+	}
+	sends := r.repeatSync(now)
+	r.publish()
+	return sends
+}
+
 // answerSync tells a fresh host which slots are split.
 func (r *Router) answerSync(to fleet.HostID) []fleet.Send {
 	messages := []*Splits{{Ready: r.ready}}
@@ -128,14 +151,32 @@
 	if len(r.sync.parts) < m.Parts {
 		return
 	}
+	listed := make(map[slotKey]bool)
 	for _, part := range r.sync.parts {
 		for i := range part.Services {
-			r.applySplits(now, &part.Services[i])
+			r.applySplits(now, &part.Services[i], listed)
 		}
 	}
+	r.dropUnlisted(listed)
 	r.becomeReady()
 }
 
+// dropUnlisted makes the slots whole that the peer has whole. It has the same
+// tables, so the slot's agreed server is its target.
+func (r *Router) dropUnlisted(listed map[slotKey]bool) {
+	for _, s := range r.services {
+		for _, slot := range s.splitSlots() {
+			if listed[slotKey{s.name, slot}] {
+				continue
+			}
+			s.agreed[slot] = s.target[slot]
+			if s.whole(slot) {
+				r.dropSplit(s, slot)
+			}
+		}
+	}
+}
+
 // peerUnready notes that a peer knows no more. When none does, the whole fleet
 // is fresh, and no slot is split.
 func (r *Router) peerUnready(peer fleet.HostID) {
@@ -152,7 +193,7 @@
 	r.becomeReady()
 }
 
-func (r *Router) applySplits(now time.Time, m *ServiceSplits) {
+func (r *Router) applySplits(now time.Time, m *ServiceSplits, listed map[slotKey]bool) {
 	s := r.byName[m.Service]
 	if s == nil || !s.present {
 		return
@@ -162,6 +203,7 @@
 			if slot >= SlotCount {
 				continue
 			}
+			listed[slotKey{s.name, slot}] = true
 			s.agreed[slot], s.epochs[slot] = s.serverIndex(a.Server), a.Epoch
 			if s.splits[slot] == nil {
 				r.addSplit(now, s, slot, authorityNone)
--- a/flow/takeover_test.go
+++ b/flow/takeover_test.go
@@ -77,3 +77,48 @@
 		is.Equal(c.next(k).Server, server)
 	}
 }
+
+// TestResync pauses an owner until its slots have a new one, which places flows.
+// When it wakes up and learns again, it knows them.
+func TestResync(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, chosen, 3)
+	c.drain(3)
+	c.run(settle + 2*time.Second)
+	before := c.handedTo("host-01", 50)
+	c.run(time.Second)
+	paused := c.routers["host-01"]
+	c.die("host-01")
+	c.run(2 * settle)
+	c.start(2000, time.Second)
+	c.run(2 * time.Second)
+	c.routers["host-01"] = paused
+	c.carry("host-01", paused.Resync(c.now))
+	is.True(!paused.Ready())
+	c.hosts = []fleet.HostID{"host-00", "host-01", "host-02"}
+	c.publish(spread)
+	c.run(2 * settle)
+	is.True(paused.Ready())
+	for k, server := range before {
+		is.Equal(c.next(k).Server, server)
+	}
+	is.Equal(c.broken, 0)
+	is.True(c.hops > 0)
+}
+
+// TestFreshOwnerRetires lets a host that joined after a slot was retired retire
+// it once more: all hosts take its word.
+func TestFreshOwnerRetires(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, chosen, 3)
+	c.services[0].IdleTimeout = 5 * time.Second
+	c.drain(3)
+	c.run(15 * time.Second)
+	c.join("host-03")
+	c.drain(4)
+	c.run(15 * time.Second)
+	for _, h := range c.known() {
+		is.Equal(c.routers[h].Stats().Splits, int64(0))
+	}
+	is.True(c.routers["host-03"].Stats().Retired > 0)
+}
--- a/packet/reason.go
+++ b/packet/reason.go
@@ -21,3 +21,11 @@
 	ReasonReplayed   Reason = "replayed"    // handoff: seen before, or too far behind to tell
 	ReasonHops       Reason = "hops"        // handoff: handed on more than once
 )
+
+// Reasons returns all reasons, so that their counters can stand at zero.
+func Reasons() []Reason {
+	return []Reason{
+		ReasonTruncated, ReasonBadVersion, ReasonBadHeader, ReasonFragment, ReasonOversize, ReasonProtocol,
+		ReasonHopLimit, ReasonForged, ReasonMalformed, ReasonExpired, ReasonReplayed, ReasonHops,
+	}
+}
