--- a/flow/sweep.go
+++ b/flow/sweep.go
@@ -6,45 +6,62 @@
 	"github.com/rattanthread/rattanthread/fleet"
 )
 
-// sweepShare is the number of ticks in which every split slot is visited once.
+// sweepShare is the number of ticks in which the records of every split slot are
+// visited once, and between looks for splits that are over.
 const sweepShare = 16
 
-// sweep visits a share of the split slots: it drops records that are due, and
-// retires the splits that are over.
+// sweep drops the records that are due from a share of the split slots, and
+// retires the splits that are over, all at once so that it takes few messages.
 func (r *Router) sweep(now time.Time) []fleet.Send {
 	r.sweepAt = (r.sweepAt + 1) % sweepShare
 	var sends []fleet.Send
 	for _, s := range r.services {
-		var over []uint16
 		for slot, state := range s.splits {
-			if int(slot)%sweepShare == r.sweepAt && r.sweepSlot(now, s, state) {
-				over = append(over, slot)
+			if int(slot)%sweepShare == r.sweepAt {
+				r.expire(now, s, state)
 			}
 		}
-		if len(over) > 0 {
+		if r.sweepAt != 0 {
+			continue
+		}
+		if over := r.over(now, s); len(over) > 0 {
 			sends = append(sends, r.retire(now, s, over)...)
 		}
 	}
 	return sends
 }
 
-// sweepSlot drops the records of a slot that are due, and reports whether this
-// host owns the split and it is over: no flow has used another server than the
-// target for the idle timeout, and the target admits freely.
-func (r *Router) sweepSlot(now time.Time, s *service, state *slotState) bool {
-	idle := s.idleTimeout()
-	f := state.live
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	r.count.Add(int64(-f.records.expire(seconds(now), idle)))
-	if state.owner != r.view.Self || f.authority != authorityFull {
-		return false
+// expire drops the records of a slot that are due.
+func (r *Router) expire(now time.Time, s *service, state *slotState) {
+	state.live.mu.Lock()
+	defer state.live.mu.Unlock()
+	r.count.Add(int64(-state.live.records.expire(seconds(now), s.idleTimeout())))
+}
+
+// over returns the split slots that this host may retire.
+func (r *Router) over(now time.Time, s *service) []uint16 {
+	var over []uint16
+	for _, slot := range s.splitSlots() {
+		if r.isOver(now, s, s.splits[slot]) {
+			over = append(over, slot)
+		}
 	}
+	return over
+}
+
+// isOver reports whether this host owns the split and it is over: no flow has used
+// another server than the target for the idle timeout, and the target admits freely.
+func (r *Router) isOver(now time.Time, s *service, state *slotState) bool {
 	target := s.target[state.slot]
-	if target == noServer || !s.servers[target].usable() || s.servers[target].admission != AdmitFreely {
+	if state.owner != r.view.Self || target == noServer {
+		return false
+	}
+	if server := &s.servers[target]; !server.usable() || server.admission != AdmitFreely {
 		return false
 	}
-	return now.Sub(f.lastOther) > idle
+	state.live.mu.Lock()
+	defer state.live.mu.Unlock()
+	return state.live.authority == authorityFull && now.Sub(state.live.lastOther) > s.idleTimeout()
 }
 
 // retire makes slots whole and tells all peers. A peer that misses it goes on
