request: Let a key keep the home that it had at its issue

Cause: for 20 s after a data centre was taken out, and again after it came back, every key whose home moved was answered unknown, since the new home has no history of it. Ruled out: fetching claims from the former home, which needs it to be reachable. Change: a key's home is picked among the data centres that were in when the key was issued, by the last two changes of each, which the publisher now notes. A first publication counts as no change. With more changes than are known the answer stays unknown.

--- a/config/equal.go
+++ b/config/equal.go
@@ -15,10 +15,10 @@
 func (r Rule) key() RuleName { return r.Name }
 
 func (d DataCentre) equal(other DataCentre) bool {
-	sameSince := d.Since.Equal(other.Since)
-	d.Since = other.Since
+	sameTimes := d.Since.Equal(other.Since) && d.Previous.Equal(other.Previous)
+	d.Since, d.Previous = other.Since, other.Previous
 	d.origin = other.origin
-	return sameSince && d == other
+	return sameTimes && d == other
 }
 
 func (s Service) equal(other Service) bool {
--- a/faultmatrix/platform.go
+++ b/faultmatrix/platform.go
@@ -21,7 +21,7 @@
 	p.up = p.up || len(p.revisions) == 0
 	number := fleet.Revision(len(p.revisions) + 1)
 	if number > 1 {
-		noteSince(p.head().Set, &set, p.world.now)
+		set = set.Stamped(p.head().Set, p.world.now)
 	}
 	p.revisions = append(p.revisions, config.Revised{
 		History:     "history-1",
@@ -33,18 +33,6 @@
 	p.world.checks.published(p.head())
 }
 
-// noteSince sets when a data centre's wanted state changed, as publishers do.
-func noteSince(old config.Set, updated *config.Set, now time.Time) {
-	for i := range updated.DataCentres {
-		for _, before := range old.DataCentres {
-			d := &updated.DataCentres[i]
-			if d.Name == before.Name && d.State != before.State {
-				d.Since = now
-			}
-		}
-	}
-}
-
 func (p *platform) head() config.Revised { return p.revisions[len(p.revisions)-1] }
 
 // read returns what a host in a data centre reads, if it gets an answer.
--- a/request/owner.go
+++ b/request/owner.go
@@ -35,7 +35,7 @@
 }
 
 func (k *Keys) mayDecide(now time.Time, key Key) bool {
-	if !k.Ready(now) || home(key, k.view.Centres) != k.view.DataCentre {
+	if !k.Ready(now) || k.place(key).home != k.view.DataCentre {
 		return false
 	}
 	return k.owns(key.String())
@@ -45,7 +45,7 @@
 	switch {
 	case k.history.lost(key):
 		return k.answer(now, m.Attempt, Verdict{Decision: DecisionUnknown, Reason: ReasonHistoryLost})
-	case homeMoved(key, k.view.Centres, k.limits().MoveMargin):
+	case !k.place(key).certain:
 		return k.answer(now, m.Attempt, Verdict{Decision: DecisionUnknown, Reason: ReasonHomeMoved})
 	case len(k.claims) >= k.limits().Keys:
 		v := Verdict{Decision: DecisionRefused, Reason: ReasonKeysFull, Earlier: EarlierNone, RetryAfter: time.Second}
