Remember three changes of a data centre, and count bytes by kind of message

Cause: a data centre out and back within the margin left its keys uncertain, so callers were told unknown for 20 s after the return. Change: the publisher notes one change more. Peers' bytes are counted by kind.

--- a/config/equal.go
+++ b/config/equal.go
@@ -15,8 +15,8 @@
 func (r Rule) key() RuleName { return r.Name }
 
 func (d DataCentre) equal(other DataCentre) bool {
-	sameTimes := d.Since.Equal(other.Since) && d.Previous.Equal(other.Previous)
-	d.Since, d.Previous = other.Since, other.Previous
+	sameTimes := d.Since.Equal(other.Since) && d.Previous.Equal(other.Previous) && d.Earlier.Equal(other.Earlier)
+	d.Since, d.Previous, d.Earlier = other.Since, other.Previous, other.Earlier
 	d.origin = other.origin
 	return sameTimes && d == other
 }
--- a/config/normal.go
+++ b/config/normal.go
@@ -92,7 +92,7 @@
 func (d *DataCentre) normalise() {
 	d.Region = cmp.Or(d.Region, DefaultRegion)
 	d.State = cmp.Or(d.State, StateIn)
-	d.Since, d.Previous = d.Since.UTC(), d.Previous.UTC()
+	d.Since, d.Previous, d.Earlier = d.Since.UTC(), d.Previous.UTC(), d.Earlier.UTC()
 }
 
 func (s *Service) normalise() {
@@ -135,7 +135,7 @@
 }
 
 // Stamped returns a copy of the set whose data centres carry the times of their
-// last two changes of state: now and the last one of base, or those that base
+// last three changes of state: now and the last two of base, or those that base
 // has for the same state. The data centres of a first set have never changed.
 func (s Set) Stamped(base Set, now time.Time) Set {
 	stamped := s.clone()
@@ -145,11 +145,11 @@
 		before, known := base.DataCentre(centre.Name)
 		switch {
 		case first:
-			centre.Since, centre.Previous = time.Time{}, time.Time{}
+			centre.Since, centre.Previous, centre.Earlier = time.Time{}, time.Time{}, time.Time{}
 		case known && before.State == centre.State:
-			centre.Since, centre.Previous = before.Since, before.Previous
+			centre.Since, centre.Previous, centre.Earlier = before.Since, before.Previous, before.Earlier
 		default:
-			centre.Since, centre.Previous = now.UTC(), before.Since
+			centre.Since, centre.Previous, centre.Earlier = now.UTC(), before.Since, before.Previous
 		}
 	}
 	return stamped
--- a/config/set.go
+++ b/config/set.go
@@ -54,8 +54,10 @@
 	State DataCentreState `toml:"state" cbor:"state"`
 	// Since is when State was last changed by a publication. The publisher sets it.
 	Since time.Time `toml:"-" cbor:"since"`
-	// Previous is when State was changed before that; zero if it never was.
+	// Previous is when State was changed before that, and Earlier before
+	// Previous; zero if it never was.
 	Previous time.Time `toml:"-" cbor:"previous,omitzero"`
+	Earlier  time.Time `toml:"-" cbor:"earlier,omitzero"`
 
 	origin *declaration.Origin
 }
--- a/peer/counters.go
+++ b/peer/counters.go
@@ -18,6 +18,7 @@
 type counters struct {
 	sent     *prometheus.CounterVec // by path
 	bytes    *prometheus.CounterVec // by path and direction
+	kinds    *prometheus.CounterVec // bytes sent, by kind
 	taken    *prometheus.CounterVec // by path
 	refused  *prometheus.CounterVec // by reason
 	dropped  *prometheus.CounterVec // by reason
@@ -30,6 +31,7 @@
 	c := &counters{
 		sent:     counter("sent_total", "Messages sent to peers.", "path"),
 		bytes:    counter("bytes_total", "Bytes of messages sent and received.", "path", "direction"),
+		kinds:    counter("kind_bytes_total", "Bytes of messages sent, by kind of message.", "kind"),
 		taken:    counter("received_total", "Messages accepted from peers.", "path"),
 		refused:  counter("refused_total", "Messages from peers that were refused.", "reason"),
 		dropped:  counter("dropped_total", "Messages to peers that were dropped.", "reason"),
@@ -42,7 +44,7 @@
 		}),
 	}
 	if r != nil {
-		r.MustRegister(c.sent, c.bytes, c.taken, c.refused, c.dropped, c.rejected, c.retries, c.links)
+		r.MustRegister(c.sent, c.bytes, c.kinds, c.taken, c.refused, c.dropped, c.rejected, c.retries, c.links)
 	}
 	return c
 }
--- a/peer/datagram.go
+++ b/peer/datagram.go
@@ -33,10 +33,12 @@
 		h.drop(ReasonWrite)
 		return
 	}
-	h.count(PathDatagram, len(b))
+	h.count(PathDatagram, kind, len(b))
 }
 
-func (h *Hub) count(path Path, n int) {
+// count notes a message that was sent, by path and by kind.
+func (h *Hub) count(path Path, kind fleet.MessageKind, n int) {
+	h.counters.kinds.WithLabelValues(string(kind)).Add(float64(n))
 	h.counters.sent.WithLabelValues(path.String()).Inc()
 	h.counters.bytes.WithLabelValues(path.String(), "out").Add(float64(n))
 }
--- a/peer/link.go
+++ b/peer/link.go
@@ -144,7 +144,7 @@
 		l.close()
 		return ReasonWrite
 	}
-	l.hub.count(PathLink, len(b))
+	l.hub.count(PathLink, q.kind, len(b))
 	return ""
 }
 
--- a/request/home.go
+++ b/request/home.go
@@ -34,7 +34,7 @@
 		p.home = pick(key, centres)
 	}
 	for i, c := range centres {
-		if !precedes(issued, c.Previous, margin) {
+		if !precedes(issued, c.Earlier, margin) {
 			continue
 		}
 		state := then[i].State
@@ -45,15 +45,14 @@
 	return p
 }
 
-// stateAt returns the state of a data centre at a time, as far as its last two
+// stateAt returns the state of a data centre at a time, as far as its last three
 // changes tell.
 func stateAt(c config.DataCentre, at time.Time, margin time.Duration) config.DataCentreState {
 	state := c.State
-	if precedes(at, c.Since, margin) {
-		state = flip(state)
-	}
-	if precedes(at, c.Previous, margin) {
-		state = flip(state)
+	for _, change := range []time.Time{c.Since, c.Previous, c.Earlier} {
+		if precedes(at, change, margin) {
+			state = flip(state)
+		}
 	}
 	return state
 }
