flow: Charge new UDP flows on a cold server

Change: on a server that admits by credit such packets wait for credit; they are dropped, not sent elsewhere.

--- a/flow/decide.go
+++ b/flow/decide.go
@@ -199,7 +199,7 @@
 		return d.chooseUnsettled(agreed)
 	}
 	if d.udp() && d.learning() {
-		return agreed, ""
+		return d.chooseLearning(agreed)
 	}
 	server := d.admitting()
 	if server == noServer {
@@ -241,6 +241,15 @@
 	return d.now.Sub(d.split.since) < window
 }
 
+// chooseLearning keeps an unrecorded UDP flow on the agreed server. Where that one
+// is cold, its packets wait for credit: the flow may be new.
+func (d *decider) chooseLearning(agreed uint16) (uint16, Reason) {
+	if d.view.server(agreed).admission == AdmitByCredit && !d.admits(agreed) {
+		return noServer, ReasonUnsettled
+	}
+	return agreed, ""
+}
+
 // admitting returns a server that takes a new flow: the target, else the next in
 // the slot's order of preference, else any.
 func (d *decider) admitting() uint16 {
