Refuse a value where a table belongs

Cause: 'flow = 5' in a service was taken without an error and ignored, because the TOML library decodes a number into an empty map.

--- a/declaration/document.go
+++ b/declaration/document.go
@@ -79,7 +79,7 @@
 	switch {
 	case isTable(field.Type()):
 		var values map[string]toml.Primitive
-		if err := d.meta.PrimitiveDecode(value, &values); err != nil {
+		if err := d.meta.PrimitiveDecode(value, &values); err != nil || !isTableValue(d.raw(value)) {
 			d.fail(path, object, key, "want a table")
 			return
 		}
@@ -95,7 +95,7 @@
 
 func (d *Document) decodeArray(field reflect.Value, value toml.Primitive, path, object, key string) {
 	var elements []map[string]toml.Primitive
-	if err := d.meta.PrimitiveDecode(value, &elements); err != nil {
+	if err := d.meta.PrimitiveDecode(value, &elements); err != nil || !isArrayOfTables(d.raw(value)) {
 		d.fail(path, object, key, fmt.Sprintf("want tables under [[%s]]", key))
 		return
 	}
@@ -110,6 +110,30 @@
 	}
 }
 
+// raw returns a value as the library understands it. The library decodes what
+// is not a table into a map without an error, so its type has to be looked at.
+func (d *Document) raw(value toml.Primitive) any {
+	var raw any
+	_ = d.meta.PrimitiveDecode(value, &raw)
+	return raw
+}
+
+func isTableValue(raw any) bool {
+	_, ok := raw.(map[string]any)
+	return ok
+}
+
+func isArrayOfTables(raw any) bool {
+	switch values := raw.(type) {
+	case []map[string]any:
+		return true
+	case []any:
+		return !slices.ContainsFunc(values, func(v any) bool { return !isTableValue(v) })
+	default:
+		return false
+	}
+}
+
 // label names an object by its table and its name, or by its number.
 func (d *Document) label(values map[string]toml.Primitive, key string, i int) string {
 	var name string
@@ -176,7 +200,7 @@
 
 var (
 	errorPosition = regexp.MustCompile(`^(toml: )?(line \d+ \(last key "[^"]*"\): )?`)
-	typeMismatch  = regexp.MustCompile(`^incompatible types: TOML value has type ([a-z]+); destination has type ([a-z]+)`)
+	typeMismatch  = regexp.MustCompile(`^incompatible types: TOML value has type ([a-z0-9]+); destination has type ([a-z0-9]+)`)
 )
 
 // errorText returns what the library says, without the position.
