request: Bound the reports of attempts that were given up

Cause: an attempt given up because no owner answered repeated its report five times a second for the life of its key. Change: reports back off to 10 s, those of attempts that never had a Run verdict end when the owner has given up on them, and open attempts count against the limit of keys. Figures: TestReportsDoNotPileUp fails without the change.

--- a/request/attempt.go
+++ b/request/attempt.go
@@ -5,8 +5,12 @@
 	"time"
 )
 
-// repeatInterval is the time between two messages about the same attempt.
-const repeatInterval = 200 * time.Millisecond
+// repeatInterval is the time between two messages about the same attempt. For
+// reports it doubles each time, up to maxRepeatInterval.
+const (
+	repeatInterval    = 200 * time.Millisecond
+	maxRepeatInterval = 10 * time.Second
+)
 
 // attempt is one attempt of a request at the host that the caller reached.
 type attempt struct {
@@ -16,7 +20,9 @@
 	started time.Time
 	sentAt  time.Time
 	waiting bool // the owner has told that another attempt runs
+	ran     bool // there was a Run verdict
 	result  Result
+	pause   time.Duration // until the report is repeated
 }
 
 type attemptState uint8
@@ -50,6 +56,8 @@
 		return Verdict{Decision: DecisionRefused, Reason: ReasonStopping, RetryAfter: time.Second}, false
 	case !now.Before(r.Deadline):
 		return Verdict{Decision: DecisionRefused, Reason: ReasonDeadline}, false
+	case len(k.attempts) >= k.limits().Keys:
+		return Verdict{Decision: DecisionRefused, Reason: ReasonKeysFull, RetryAfter: time.Second}, false
 	}
 	return r.Key.check(now, k.limits())
 }
@@ -99,7 +107,7 @@
 	if !now.Before(v.ValidUntil) {
 		return k.giveUp(now, a, ReasonVerdictLate)
 	}
-	a.state = attemptRunning
+	a.state, a.ran = attemptRunning, true
 	return Effects{Verdicts: []Verdict{v}}
 }
 
@@ -126,7 +134,7 @@
 }
 
 func (k *Keys) report(now time.Time, a *attempt, r Result) Effects {
-	a.state, a.result = attemptReporting, r
+	a.state, a.result, a.pause = attemptReporting, r, repeatInterval
 	limits := k.limits()
 	if len(r.Answer.Body) > limits.KeptBody {
 		a.result.Answer.Body, a.result.Answer.BodyKept = nil, false
@@ -190,11 +198,13 @@
 			return k.ask(now, a)
 		}
 	case attemptReporting:
-		if overdue && now.Sub(a.claim.Deadline) > limits.KeyLifetime {
+		// Without a report the owner calls the outcome unknown when it is overdue.
+		if overdue && (!a.ran || now.Sub(a.claim.Deadline) > limits.KeyLifetime) {
 			delete(k.attempts, a.id)
 			return Effects{}
 		}
-		if now.Sub(a.sentAt) >= repeatInterval {
+		if now.Sub(a.sentAt) >= a.pause {
+			a.pause = min(2*a.pause, maxRepeatInterval)
 			return k.sendReport(now, a)
 		}
 	case attemptRunning:
--- a/request/cluster_test.go
+++ b/request/cluster_test.go
@@ -46,6 +46,7 @@
 	onStep  func(step int)
 	steps   int // messages about requests delivered since watch
 	watch   bool
+	reports int // result reports sent
 	runs    map[string]int
 	told    []string
 	errs    []string
@@ -179,6 +180,9 @@
 }
 
 func (c *cluster) carry(from *node, s fleet.Send) {
+	if _, ok := s.Message.(*request.ResultReport); ok {
+		c.reports++
+	}
 	copies := 1
 	if c.lossy {
 		copies = []int{0, 1, 1, 1, 2}[c.rng.IntN(5)]
--- a/request/faults_test.go
+++ b/request/faults_test.go
@@ -278,3 +278,22 @@
 		}
 	}
 }
+
+// TestReportsDoNotPileUp has every request given up, as the only host that is
+// left of the home is no majority.
+func TestReportsDoNotPileUp(t *testing.T) {
+	is := is.New(t)
+	s := &scene{cluster: newCluster(1, 3, 3)}
+	s.key = s.newKey(0)
+	outside := s.nodes[slices.IndexFunc(s.nodes, func(n *node) bool { return n.centre != s.home()[0].centre })]
+	s.kill(s.home()[1])
+	s.kill(s.home()[2])
+	s.run(time.Second)
+	const calls = 100
+	for range calls {
+		s.call(outside, s.key)
+	}
+	s.run(20 * time.Second)
+	is.True(s.reports <= 5*calls)
+	is.Equal(len(s.told), calls)
+}
