--- a/trial/samples.go
+++ b/trial/samples.go
@@ -18,13 +18,7 @@
 	// centre left.
 	workBefore, workAfter map[fleet.ServerID]uint64
 	// sent is what each host had sent, by its own count.
-	sentBefore map[fleet.HostID]hostSent
-}
-
-// hostSent is what a host had sent at a time.
-type hostSent struct {
-	at    time.Time
-	bytes uint64
+	sentBefore map[fleet.HostID]Sent
 }
 
 // flowSecond is what flow callers saw by the end of a second.
@@ -109,12 +103,12 @@
 	return work
 }
 
-func (w *world) sent() map[fleet.HostID]hostSent {
-	sent := make(map[fleet.HostID]hostSent)
+func (w *world) sent() map[fleet.HostID]Sent {
+	sent := make(map[fleet.HostID]Sent)
 	now := time.Now()
 	for _, p := range w.processes {
-		if bytes, ok := w.watch.sentBytes(p.settings.Host); ok {
-			sent[p.settings.Host] = hostSent{now, bytes}
+		if count, ok := w.watch.SentBytes(now, p.settings.Host); ok {
+			sent[p.settings.Host] = count
 		}
 	}
 	return sent
--- a/trial/summary.go
+++ b/trial/summary.go
@@ -214,12 +214,12 @@
 	for _, p := range w.processes {
 		id := p.settings.Host
 		first, ok := w.samples.sentBefore[id]
-		last, still := after[id]
-		if !ok || !still || last.bytes < first.bytes {
-			continue // the host was replaced meanwhile
+		if !ok {
+			continue
+		}
+		if rate, ok := after[id].Rate(first); ok {
+			rows = append(rows, ControlRow{Host: id, BytesPerSecond: rate})
 		}
-		bytes := float64(last.bytes - first.bytes)
-		rows = append(rows, ControlRow{Host: id, BytesPerSecond: bytes / last.at.Sub(first.at).Seconds()})
 	}
 	return rows
 }
--- a/trial/verdict_test.go
+++ b/trial/verdict_test.go
@@ -141,3 +141,29 @@
 	tell("b", 2, 2)
 	is.Equal(len(w.Reverted()), 1)
 }
+
+func TestControlBytesAreOfOneLife(t *testing.T) {
+	is := is.New(t)
+	var w trial.Watch
+	tell := func(incarnation fleet.Incarnation, sent uint64) {
+		w.Observe(status.Host{Host: "a", Incarnation: incarnation, Counters: map[string]uint64{
+			"rattanthread_peer_bytes_total,direction=out,path=link":     sent,
+			"rattanthread_peer_bytes_total,direction=out,path=datagram": sent,
+			"rattanthread_peer_bytes_total,direction=in,path=link":      9,
+		}})
+	}
+	_, ok := w.SentBytes(at(0), "a")
+	is.True(!ok)
+	tell(1, 100)
+	first, ok := w.SentBytes(at(0), "a")
+	is.True(ok)
+	tell(1, 150)
+	second, _ := w.SentBytes(at(2), "a")
+	rate, ok := second.Rate(first)
+	is.True(ok)
+	is.Equal(rate, 50.0)
+	tell(2, 400)
+	third, _ := w.SentBytes(at(4), "a")
+	_, ok = third.Rate(first)
+	is.True(!ok) // another life of the host
+}
--- a/trial/watch.go
+++ b/trial/watch.go
@@ -120,19 +120,37 @@
 	return seen.Reason
 }
 
-// sentBytes is what a host says that it sent to its peers.
-func (w *Watch) sentBytes(host fleet.HostID) (uint64, bool) {
+// Sent is what a host had sent to its peers at a time, by its own count.
+type Sent struct {
+	At          time.Time
+	Incarnation fleet.Incarnation
+	Bytes       uint64
+}
+
+// Rate returns the bytes a second since an earlier count. It is false when the
+// host was replaced meanwhile, as its counters start at zero.
+func (s Sent) Rate(earlier Sent) (float64, bool) {
+	elapsed := s.At.Sub(earlier.At).Seconds()
+	if elapsed <= 0 || s.Incarnation != earlier.Incarnation || s.Bytes < earlier.Bytes {
+		return 0, false
+	}
+	return float64(s.Bytes-earlier.Bytes) / elapsed, true
+}
+
+// SentBytes returns what a host says that it sent to its peers.
+func (w *Watch) SentBytes(now time.Time, host fleet.HostID) (Sent, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	var total uint64
+	seen := w.seen[host]
+	sent := Sent{At: now, Incarnation: seen.Incarnation}
 	found := false
-	for name, value := range w.seen[host].Counters {
+	for name, value := range seen.Counters {
 		if strings.HasPrefix(name, peerBytesCounter) && strings.Contains(name, sentLabel) {
-			total += value
+			sent.Bytes += value
 			found = true
 		}
 	}
-	return total, found
+	return sent, found
 }
 
 // counters adds up the counters of all hosts.
