--- a/config/normal.go
+++ b/config/normal.go
@@ -92,7 +92,7 @@
 func (d *DataCentre) normalise() {
 	d.Region = cmp.Or(d.Region, DefaultRegion)
 	d.State = cmp.Or(d.State, StateIn)
-	d.Since = d.Since.UTC()
+	d.Since, d.Previous, d.Earlier = d.Since.UTC(), d.Previous.UTC(), d.Earlier.UTC()
 }
 
 func (s *Service) normalise() {
@@ -134,15 +134,22 @@
 	return kinds
 }
 
-// Stamped returns a copy of the set whose data centres carry the time of their
-// last change of state: now, or the time that base has for the same state.
+// Stamped returns a copy of the set whose data centres carry the times of their
+// last three changes of state: now and the last two of base, or those that base
+// has for the same state. The data centres of a first set have never changed.
 func (s Set) Stamped(base Set, now time.Time) Set {
 	stamped := s.clone()
+	first := len(base.DataCentres) == 0
 	for i := range stamped.DataCentres {
 		centre := &stamped.DataCentres[i]
-		centre.Since = now.UTC()
-		if before, ok := base.DataCentre(centre.Name); ok && before.State == centre.State {
-			centre.Since = before.Since
+		before, known := base.DataCentre(centre.Name)
+		switch {
+		case first:
+			centre.Since, centre.Previous, centre.Earlier = time.Time{}, time.Time{}, time.Time{}
+		case known && before.State == centre.State:
+			centre.Since, centre.Previous, centre.Earlier = before.Since, before.Previous, before.Earlier
+		default:
+			centre.Since, centre.Previous, centre.Earlier = now.UTC(), before.Since, before.Previous
 		}
 	}
 	return stamped
--- a/request/keys.go
+++ b/request/keys.go
@@ -169,9 +169,14 @@
 	return owner == k.self.Host
 }
 
+// place returns where a key belongs by this host's view.
+func (k *Keys) place(key Key) placement {
+	return place(key, k.view.Centres, k.limits().MoveMargin)
+}
+
 // ownerOf returns the host that owns key in its home data centre, or "".
 func (k *Keys) ownerOf(key Key) fleet.HostID {
-	centre := home(key, k.view.Centres)
+	centre := k.place(key).home
 	if centre == "" {
 		return ""
 	}
