--- a/control/refresh.go
+++ b/control/refresh.go
@@ -36,6 +36,7 @@
 	fresh := revised.Revision != c.installed.revision || revised.History != c.installed.history
 	if fresh {
 		c.centres.Install(now, revised.Set.DataCentres)
+		c.centres.SetRevision(revised.Revision)
 	}
 	stage := c.centres.Stage(now)
 	if fresh || members != c.installed.members || stage != c.installed.stage {
--- a/host/loop.go
+++ b/host/loop.go
@@ -13,6 +13,7 @@
 	"github.com/rattanthread/rattanthread/flow"
 	"github.com/rattanthread/rattanthread/membership"
 	"github.com/rattanthread/rattanthread/packet"
+	"github.com/rattanthread/rattanthread/request"
 	"github.com/rattanthread/rattanthread/status"
 )
 
@@ -57,6 +58,7 @@
 		Random:  rand.New(rand.NewPCG(seed, seed)),
 		Timing:  membership.Timing{Probe: s.Peers.Heartbeat, Suspicion: s.Peers.Suspicion},
 		Flows:   flow.Limits{Records: s.Limits.ExceptionalFlow},
+		Keys:    request.Limits{Keys: s.Limits.RequestKeys, MaxSkew: s.Limits.CallerClockSkew},
 		FlowKey: flowKey,
 		Clock:   l.host.Now,
 	})
--- a/settings/check.go
+++ b/settings/check.go
@@ -26,6 +26,8 @@
 	MinMessageBytes    = 64 << 10
 	MaxMessageBytes    = 16 << 20
 	MaxPacketWorkers   = 64
+	MinCallerClockSkew = 10 * time.Millisecond
+	MaxCallerClockSkew = 10 * time.Minute
 )
 
 var logLevels = []string{"trace", "debug", "info", "warn", "error"}
@@ -133,4 +135,5 @@
 	c.require("limits.queued_messages", declaration.RangeFault(l.QueuedMessages, 1, MaxQueuedMessages))
 	c.require("limits.message_bytes", declaration.RangeFault(l.MessageBytes, MinMessageBytes, MaxMessageBytes))
 	c.require("limits.packet_workers", declaration.RangeFault(l.PacketWorkers, 1, MaxPacketWorkers))
+	c.require("limits.caller_clock_skew", declaration.RangeFault(l.CallerClockSkew, MinCallerClockSkew, MaxCallerClockSkew))
 }
--- a/settings/normal.go
+++ b/settings/normal.go
@@ -18,6 +18,7 @@
 	DefaultPacketWorkers   = 2
 	DefaultLogLevel        = "info"
 	DefaultAnswerPort      = uint16(5555)
+	DefaultCallerClockSkew = 10 * time.Second
 )
 
 // Normalised returns the settings with every default filled in.
@@ -31,6 +32,7 @@
 	s.Limits.QueuedMessages = cmp.Or(s.Limits.QueuedMessages, DefaultQueuedMessages)
 	s.Limits.MessageBytes = cmp.Or(s.Limits.MessageBytes, DefaultMessageBytes)
 	s.Limits.PacketWorkers = cmp.Or(s.Limits.PacketWorkers, DefaultPacketWorkers)
+	s.Limits.CallerClockSkew = cmp.Or(s.Limits.CallerClockSkew, DefaultCallerClockSkew)
 	s.Listen.AnswerPort = cmp.Or(s.Listen.AnswerPort, DefaultAnswerPort)
 	s.Log.Level = cmp.Or(s.Log.Level, DefaultLogLevel)
 	return s
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -65,9 +65,13 @@
 	FlowRecords     int `toml:"flow_records"`      // default 1,000,000
 	ExceptionalFlow int `toml:"exceptional_flows"` // flows that the current table would send elsewhere; default 200,000
 	RequestKeys     int `toml:"request_keys"`      // default 200,000
-	QueuedMessages  int `toml:"queued_messages"`   // per peer; default 256
-	MessageBytes    int `toml:"message_bytes"`     // longest message between hosts; default 1 MiB
-	PacketWorkers   int `toml:"packet_workers"`    // goroutines that carry packets; default 2
+	// CallerClockSkew is how far ahead of this host the clocks of callers may
+	// be; default 10s. Keys that callers issued in this time before a fleet
+	// started get an unknown outcome.
+	CallerClockSkew time.Duration `toml:"caller_clock_skew"`
+	QueuedMessages  int           `toml:"queued_messages"` // per peer; default 256
+	MessageBytes    int           `toml:"message_bytes"`   // longest message between hosts; default 1 MiB
+	PacketWorkers   int           `toml:"packet_workers"`  // goroutines that carry packets; default 2
 }
 
 // Log tells how the host logs.
