Look services up by a key without gaps

A decision's map key was a struct with padding, which maps hash field by field. An array hashes in one piece.

--- a/flow/decide.go
+++ b/flow/decide.go
@@ -13,7 +13,7 @@
 	if s == nil || !s.ready {
 		return Decision{Reason: ReasonNotReady}
 	}
-	v := s.services[addressKey{in.Key.Destination, in.Key.DestinationPort, in.Key.Protocol}]
+	v := s.services[destinationKey(&in.Key)]
 	if v == nil {
 		return Decision{Reason: ReasonUnknownAddress}
 	}
--- a/flow/snapshot.go
+++ b/flow/snapshot.go
@@ -18,14 +18,23 @@
 	services map[addressKey]*serviceView
 }
 
-type addressKey struct {
-	address  [16]byte
-	port     fleet.Port
-	protocol fleet.Protocol
-}
+// addressKey is the address, port and protocol of a service. It is an array
+// without gaps, which maps hash in one piece.
+type addressKey [16 + 2 + 1]byte
 
 func newAddressKey(address netip.AddrPort, protocol fleet.Protocol) addressKey {
-	return addressKey{address.Addr().As16(), fleet.Port(address.Port()), protocol}
+	return destinationKey(&fleet.FlowKey{
+		Destination:     address.Addr().As16(),
+		DestinationPort: fleet.Port(address.Port()),
+		Protocol:        protocol,
+	})
+}
+
+// destinationKey returns the address to which the packets of a flow are sent.
+func destinationKey(k *fleet.FlowKey) (key addressKey) {
+	*(*[16]byte)(key[:16]) = k.Destination
+	key[16], key[17], key[18] = byte(k.DestinationPort>>8), byte(k.DestinationPort), byte(k.Protocol)
+	return key
 }
 
 // serviceView is one service of a snapshot.
