request: Call keys unknown when fetched claims do not fit

Cause: a host with a full table dropped claims that it fetched, and let such a request run again once there was room. Change: a claim without room opens a gap for all keys issued so far.

--- a/request/faults_test.go
+++ b/request/faults_test.go
@@ -297,3 +297,36 @@
 	is.True(s.reports <= 5*calls)
 	is.Equal(len(s.told), calls)
 }
+
+// TestFullTableForgetsNothing has a new owner without room for the claim of a
+// request that ran, and sends the request again once there is room.
+func TestFullTableForgetsNothing(t *testing.T) {
+	is := is.New(t)
+	before := testLimits
+	defer func() { testLimits = before }()
+	testLimits.Keys, testLimits.KeyLifetime = 8, 20*time.Second
+	for seed := range uint64(20) {
+		s := &scene{cluster: newCluster(seed, 1, 4)}
+		for range 8 {
+			s.call(s.nodes[s.rng.IntN(4)], s.newKey(0))
+		}
+		s.run(10 * time.Second)
+		var late []request.Key
+		for range 8 {
+			late = append(late, s.newKey(0))
+			s.call(s.nodes[s.rng.IntN(4)], late[len(late)-1])
+		}
+		s.run(3 * time.Second)
+		s.kill(s.nodes[1+seed%3])
+		s.run(2 * time.Second)
+		s.kill(s.nodes[1+(seed+1)%3])
+		s.run(7 * time.Second) // the first keys expire
+		for _, key := range late {
+			s.call(s.nodes[0], key)
+		}
+		s.run(4 * time.Second)
+		for _, key := range late {
+			is.True(s.runs[key.String()] <= 1)
+		}
+	}
+}
--- a/request/history.go
+++ b/request/history.go
@@ -198,7 +198,10 @@
 		return Effects{}
 	}
 	for _, r := range m.Claims {
-		k.adopt(now, r)
+		if !k.adopt(now, r) {
+			// There is no room for the claim, so it is as good as lost.
+			k.history.addGap(Gap{Before: now.Add(k.limits().MaxSkew)})
+		}
 	}
 	if n := len(m.Claims); n > 0 {
 		p.cursor = m.Claims[n-1].Key
