Count demand for credit at the first choice only

Cause: a new flow that found no credit was counted as demand on up to five servers, so each seemed to serve too small a share and stayed cold. Change: only the server of first choice notes demand; others lend a spare unit.

--- a/backend/credit.go
+++ b/backend/credit.go
@@ -18,15 +18,23 @@
 // spends one unit of credit if the server is admitted by credit. What it
 // refuses counts as demand, for which the host asks the keeper.
 func (c *Credit) Take(now time.Time, id fleet.ServerID) bool {
+	t := c.find(id)
+	return t != nil && t.take(now, true)
+}
+
+// TakeSpare is Take for a server that is not the first choice: what it refuses
+// is no demand, as the work was meant for another server.
+func (c *Credit) TakeSpare(now time.Time, id fleet.ServerID) bool {
+	t := c.find(id)
+	return t != nil && t.take(now, false)
+}
+
+func (c *Credit) find(id fleet.ServerID) *tank {
 	tanks := c.tanks.Load()
 	if tanks == nil {
-		return false
-	}
-	t := (*tanks)[id]
-	if t == nil {
-		return false
+		return nil
 	}
-	return t.take(now)
+	return (*tanks)[id]
 }
 
 func (c *Credit) install(servers map[fleet.ServerID]*server) {
@@ -68,7 +76,7 @@
 	return Admission(t.admission.Load())
 }
 
-func (t *tank) take(now time.Time) bool {
+func (t *tank) take(now time.Time, demanded bool) bool {
 	switch t.admitted() {
 	case AdmitFreely:
 		return true
@@ -78,8 +86,10 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.demand = min(t.demand+1, maxDemand)
-	t.used = now
+	if demanded {
+		t.demand = min(t.demand+1, maxDemand)
+		t.used = now
+	}
 	for len(t.grants) > 0 {
 		first := &t.grants[0]
 		if first.count > 0 && now.Before(first.expires) {
--- a/control/core.go
+++ b/control/core.go
@@ -85,6 +85,7 @@
 	c.flows.Limits = options.Flows
 	c.flows.Key = options.FlowKey
 	c.flows.Credit = c.takeCredit
+	c.flows.Spare = c.takeSpareCredit
 	return c
 }
 
@@ -238,6 +239,10 @@
 	return c.servers.Credit().Take(c.clock(), id)
 }
 
+func (c *Core) takeSpareCredit(id fleet.ServerID) bool {
+	return c.servers.Credit().TakeSpare(c.clock(), id)
+}
+
 func (c *Core) clock() time.Time {
 	if c.options.Clock != nil {
 		return c.options.Clock()
--- a/flow/decide.go
+++ b/flow/decide.go
@@ -257,7 +257,7 @@
 		return d.split.target
 	}
 	for _, server := range d.split.preference {
-		if server != d.split.target && d.admits(server) {
+		if server != d.split.target && d.admitsSpare(server) {
 			return server
 		}
 	}
@@ -272,8 +272,21 @@
 	return noServer
 }
 
-// admits reports whether a server takes a new flow, and takes the credit for it.
+// admits reports whether the server of first choice takes a new flow, and takes
+// the credit for it.
 func (d *decider) admits(server uint16) bool {
+	return d.admitsWith(server, d.router.Credit)
+}
+
+// admitsSpare is admits for another server.
+func (d *decider) admitsSpare(server uint16) bool {
+	if d.router.Spare == nil {
+		return d.admits(server)
+	}
+	return d.admitsWith(server, d.router.Spare)
+}
+
+func (d *decider) admitsWith(server uint16, credit func(fleet.ServerID) bool) bool {
 	if server == noServer || !d.view.server(server).usable() {
 		return false
 	}
@@ -282,7 +295,7 @@
 	case AdmitFreely:
 		return true
 	case AdmitByCredit:
-		return d.router.Credit != nil && d.router.Credit(s.forward.Server)
+		return credit != nil && credit(s.forward.Server)
 	}
 	return false
 }
--- a/flow/router.go
+++ b/flow/router.go
@@ -59,6 +59,9 @@
 	// Credit takes one unit of credit of a server that admits by credit. It is
 	// called by the goroutines that call Decide. Nil means that there is none.
 	Credit func(fleet.ServerID) bool
+	// Spare is Credit for a server that is not the first choice of a flow. Nil
+	// means Credit.
+	Spare func(fleet.ServerID) bool
 
 	snapshot atomic.Pointer[snapshot]
 	count    atomic.Int64 // records
