Leave the membership only after the owners had time to take over

Change: the core keeps answering for 1.5 s, then leaves. The platform's host list tells the keys which members are gone, and confirmations carry their end.

--- a/control/core.go
+++ b/control/core.go
@@ -50,6 +50,7 @@
 	servers backend.Pool
 	flows   flow.Router
 	keys    request.Keys
+	listed  hostList
 
 	seeded    bool
 	stopping  bool
@@ -69,6 +70,8 @@
 	settled  bool
 	// confirmed tells whether this data centre is known to be in.
 	confirmed bool
+	until     time.Time // when that knowledge ends, to the second
+	listed    uint64
 }
 
 // New returns the control state of a host that has just started.
@@ -144,6 +147,7 @@
 	case *HostsRead:
 		c.confirm(now)
 		c.members.Hint(now, e.Hosts)
+		c.listed.set(e.Hosts)
 	case *EvidenceSeen:
 		return sent(c.servers.Observe(now, e.Evidence))
 	case *ClaimAsked:
@@ -170,14 +174,15 @@
 func (c *Core) tick(now time.Time) Output {
 	out := sent(c.members.Tick(now))
 	out.add(effects(c.keys.Tick(now)))
-	if c.stopping {
+	out.add(sent(c.flows.Tick(now)))
+	if c.isStopping() {
+		out.add(c.leave(now))
 		return out
 	}
 	c.observePeers(now)
 	out.add(sent(c.rollout.Tick(now)))
 	out.add(sent(c.centres.Tick(now, c.members.Live())))
 	out.add(sent(c.servers.Tick(now)))
-	out.add(sent(c.flows.Tick(now)))
 	return out
 }
 
@@ -222,19 +227,30 @@
 	return 0
 }
 
-// stop hands over what this host owns, then leaves the membership.
+// stop hands over what this host owns. It goes on answering for LeaveAfter.
 func (c *Core) stop(now time.Time) Output {
-	if c.stopping {
+	if c.isStopping() {
 		return Output{}
 	}
-	c.stopping = true
+	c.stopping = now
 	out := effects(c.keys.Stop(now))
 	out.add(sent(c.flows.Stop(now)))
 	out.add(sent(c.servers.Stop(now)))
-	out.add(sent(c.members.Leave(now)))
 	return out
 }
 
+func (c *Core) isStopping() bool { return !c.stopping.IsZero() }
+
+// leave ends the membership once the new owners had time to ask for what this
+// host knows.
+func (c *Core) leave(now time.Time) Output {
+	if c.left || now.Sub(c.stopping) < LeaveAfter {
+		return Output{}
+	}
+	c.left = true
+	return sent(c.members.Leave(now))
+}
+
 func (c *Core) takeCredit(id fleet.ServerID) bool {
 	return c.servers.Credit().Take(c.clock(), id)
 }
--- a/control/event.go
+++ b/control/event.go
@@ -116,6 +116,9 @@
 // TickInterval is how often the shell gives a Tick.
 const TickInterval = 100 * time.Millisecond
 
+// LeaveAfter is how long after a StopRequested a host leaves the membership.
+const LeaveAfter = 1500 * time.Millisecond
+
 // StaleAfter is how long the control state may stand still before traffic
 // goroutines stop deciding by it: the process was paused, and others may have
 // replaced it.
--- a/control/refresh.go
+++ b/control/refresh.go
@@ -16,10 +16,13 @@
 // stageFactor spreads the stage of the data centres over the bits of a digest.
 const stageFactor = 0x9e3779b97f4a7c15
 
+// confirmStep is by how much a confirmation must last longer to be passed on.
+const confirmStep = time.Second
+
 // refresh gives the parts what has changed in the others since the last call.
 func (c *Core) refresh(now time.Time) Output {
 	var out Output
-	if c.stopping {
+	if c.isStopping() {
 		return out
 	}
 	members := c.members.Changed()
@@ -43,7 +46,10 @@
 		out.add(sent(c.servers.Install(now, c.serverView(now, revised.Set))))
 	}
 	confirmed := c.centres.Confirmed(now)
-	if fresh || members != c.installed.members || confirmed != c.installed.confirmed {
+	until := c.centres.ConfirmedUntil().Truncate(confirmStep)
+	listed := c.listed.version
+	if fresh || members != c.installed.members || confirmed != c.installed.confirmed ||
+		!until.Equal(c.installed.until) || listed != c.installed.listed {
 		out.add(effects(c.keys.Install(now, c.keyView(revised.Set, confirmed))))
 	}
 	records := c.servers.Digest()
@@ -57,6 +63,8 @@
 		records:   records,
 		settled:   c.members.Settled(now, state),
 		confirmed: confirmed,
+		until:     until,
+		listed:    listed,
 	}
 	if next == c.installed {
 		return out
@@ -71,8 +79,11 @@
 		Self:       c.options.Self.ID,
 		DataCentre: c.options.Self.DataCentre,
 		Hosts:      c.members.Live(),
+		Gone:       c.listed.gone(c.members.Members()),
 		Centres:    set.DataCentres,
 		Confirmed:  confirmed,
+
+		ConfirmedUntil: c.centres.ConfirmedUntil(),
 	}
 }
 
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -48,7 +48,7 @@
 		Stale:      c.members.Stale(now),
 		Superseded: c.members.Superseded(),
 	}
-	next.Ready = c.rollout.Ready() && c.flows.Ready() && !next.Stale && !c.stopping
+	next.Ready = c.rollout.Ready() && c.flows.Ready() && !next.Stale && !c.isStopping()
 	if old != nil && c.installed == c.published && sameFlags(old, &next) {
 		return false
 	}
--- a/datacentre/confirm.go
+++ b/datacentre/confirm.go
@@ -62,6 +62,15 @@
 	return now.Sub(t.confirmed) < t.Timing.withDefaults().Confirm
 }
 
+// ConfirmedUntil returns when the present confirmation ends, or the zero time
+// if none is needed.
+func (t *Tracker) ConfirmedUntil() time.Time {
+	if len(t.centres) <= 1 {
+		return time.Time{}
+	}
+	return t.confirmed.Add(t.Timing.withDefaults().Confirm)
+}
+
 // Allowed returns what this host may do for callers at now. A host that cannot
 // confirm that its data centre is in goes on with flows and with requests that
 // may run twice, and refuses new idempotency keys: if the data centre has been
--- a/host/tree.go
+++ b/host/tree.go
@@ -6,14 +6,16 @@
 	"time"
 
 	"github.com/thejerf/suture/v4"
+
+	"github.com/rattanthread/rattanthread/control"
 )
 
 const (
 	// stopDrain bounds how long a planned stop waits for running requests.
 	stopDrain = 30 * time.Second
 	// stopLinger is how long the host goes on forwarding packets after it has
-	// left, since the fabric learns late that it is gone.
-	stopLinger = 2 * time.Second
+	// handed over, since the fabric learns late that it is gone.
+	stopLinger = control.LeaveAfter + time.Second
 )
 
 // tree returns the supervisor tree: one branch for control, one for traffic, so
--- a/trial/layout.go
+++ b/trial/layout.go
@@ -37,6 +37,8 @@
 	warmupTime     = 3 * time.Second
 	maxConnections = 2000
 	serverSlots    = 2
+	// clockSkew is that of callers, which run on the hosts' own clock.
+	clockSkew = 500 * time.Millisecond
 )
 
 // newSet makes the configuration of a trial: the example's services, data
@@ -111,6 +113,7 @@
 				Listen:     listen,
 				Platform:   settings.Platform{URL: platformURL},
 				Peers:      settings.Peers{Key: key},
+				Limits:     settings.Limits{CallerClockSkew: clockSkew},
 			})
 		}
 	}
