--- a/flow/service.go
+++ b/flow/service.go
@@ -269,6 +269,7 @@
 	state.live.authority = authorityNone
 	r.count.Add(int64(-state.live.records.n))
 	state.live.records = recordSet{}
+	state.live.halfOpen = nil // a traffic goroutine may still hold an older snapshot
 	state.live.mu.Unlock()
 	delete(s.splits, slot)
 	s.view = nil
