faultmatrix: show that a cell is deterministic, and sort what map order decided

Cause: some messages were made in the order of a map (repeated fetches, records given up, members of a lease, rings of a history), so equal inputs could give other messages.

--- a/faultmatrix/host.go
+++ b/faultmatrix/host.go
@@ -150,6 +150,7 @@
 
 func (h *host) send(send fleet.Send) {
 	w, from := h.world, h.self.ID
+	w.noteSent(from, send)
 	w.network.carry(from, send.To, func() {
 		if to := w.hosts[send.To]; to != nil {
 			to.run(func() { to.step(&control.MessageReceived{From: from, Message: send.Message}) })
--- a/faultmatrix/matrix.go
+++ b/faultmatrix/matrix.go
@@ -28,6 +28,9 @@
 	Opened     int         `json:"opened"`            // flows
 	Requests   int         `json:"requests"`
 	Answered   int         `json:"answered"`
+	// Messages is a digest of the times, ends and kinds of all messages between
+	// entry hosts. It tells whether two runs are the same.
+	Messages uint64 `json:"messages"`
 }
 
 // Steps are the moments of a procedure at which faults are injected.
@@ -88,6 +91,7 @@
 		Violations: w.checks.violations,
 		Opened:     len(w.flows.callers),
 		Requests:   len(w.requests.all),
+		Messages:   w.sent.Sum64(),
 	}
 	r.Allowed = slices.Clone(w.checks.allowed)
 	slices.Sort(r.Allowed)
--- a/faultmatrix/procedure.go
+++ b/faultmatrix/procedure.go
@@ -1,6 +1,8 @@
 package faultmatrix
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/rattanthread/rattanthread/config"
@@ -43,8 +45,8 @@
 func takeOutAndIn(w *World) {
 	w.publish(setState(centreB, config.StateOut))
 	w.after(8*time.Second, func() {
-		for _, s := range w.servers {
-			if s.centre == centreB {
+		for _, id := range slices.Sorted(maps.Keys(w.servers)) {
+			if s := w.servers[id]; s.centre == centreB {
 				s.restart()
 			}
 		}
--- a/faultmatrix/world.go
+++ b/faultmatrix/world.go
@@ -1,9 +1,12 @@
 package faultmatrix
 
 import (
+	"encoding/binary"
 	"math/rand/v2"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/rattanthread/rattanthread/config"
 	"github.com/rattanthread/rattanthread/fleet"
 	"github.com/rattanthread/rattanthread/flow"
@@ -42,6 +45,7 @@
 	flows    flowCallers
 	requests requestCallers
 	checks   checks
+	sent     xxhash.Digest // of all messages, in order
 }
 
 // Durations of a run.
@@ -59,6 +63,7 @@
 		servers: make(map[fleet.ServerID]*server),
 	}
 	w.now = w.started
+	w.sent.Reset()
 	w.network.world, w.platform.world, w.fabric.world = w, w, w
 	w.flows.world, w.requests.world, w.checks.world = w, w, w
 	set := initialSet()
@@ -97,6 +102,16 @@
 	w.now = end
 }
 
+// noteSent adds a message to the digest that shows whether two runs are equal.
+func (w *World) noteSent(from fleet.HostID, send fleet.Send) {
+	var at [8]byte
+	binary.LittleEndian.PutUint64(at[:], uint64(w.now.Sub(w.started)))
+	_, _ = w.sent.Write(at[:])
+	for _, text := range []string{string(from), string(send.To), string(send.Message.Kind())} {
+		_, _ = w.sent.WriteString(text)
+	}
+}
+
 // publish makes a change as an operator does, and repeats it until the platform
 // has taken it. A lost answer is resolved by reading back.
 func (w *World) publish(change func(*config.Set)) {
--- a/flow/fetch.go
+++ b/flow/fetch.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -97,7 +98,8 @@
 // are gone.
 func (r *Router) repeatFetches(now time.Time) []fleet.Send {
 	var sends []fleet.Send
-	for _, f := range r.fetches {
+	for _, id := range slices.Sorted(maps.Keys(r.fetches)) {
+		f := r.fetches[id]
 		for peer := range f.waiting {
 			if !slices.Contains(r.view.Hosts, peer) {
 				delete(f.waiting, peer)
--- a/flow/sweep.go
+++ b/flow/sweep.go
@@ -18,8 +18,8 @@
 	var sends []fleet.Send
 	given := make(map[fleet.HostID]*recordsBuilder)
 	for _, s := range r.services {
-		for slot, state := range s.splits {
-			if int(slot)%sweepShare == r.sweepAt {
+		for slot := r.sweepAt; slot < SlotCount; slot += sweepShare {
+			if state := s.splits[uint16(slot)]; state != nil {
 				r.expire(now, s, state)
 				r.giveUp(now, s, state, given)
 			}
--- a/request/history.go
+++ b/request/history.go
@@ -1,6 +1,7 @@
 package request
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -223,7 +224,8 @@
 		return
 	}
 	rings, known, overflow := h.rings, h.everSettled, h.overflow
-	for _, p := range h.pulls {
+	for _, host := range slices.Sorted(maps.Keys(h.pulls)) {
+		p := h.pulls[host]
 		if !p.done {
 			return
 		}
--- a/request/lease.go
+++ b/request/lease.go
@@ -1,6 +1,8 @@
 package request
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/rattanthread/rattanthread/fleet"
@@ -124,6 +126,7 @@
 	for _, h := range l.known {
 		members = append(members, KnownMember{Member: h.member, Age: now.Sub(h.seen)})
 	}
+	slices.SortFunc(members, func(a, b KnownMember) int { return cmp.Compare(a.Member.Host, b.Member.Host) })
 	return members
 }
 
