flow, faultmatrix: keep the split slots in order, and run requests from the start

Cause: flow sorted all split slots of a service twice a second and walked a map in each tick; the fakes began the procedures while every server was still cold, and most first requests were unknown as the fleet was fresh.

--- a/faultmatrix/host.go
+++ b/faultmatrix/host.go
@@ -21,6 +21,8 @@
 	linger = 2 * time.Second
 	// drainPoll is between looks whether running requests have ended.
 	drainPoll = 50 * time.Millisecond
+	// callerSkew bounds how far callers' clocks are ahead.
+	callerSkew = 100 * time.Millisecond
 	// queuedWhilePaused is how many events wait for a paused host.
 	queuedWhilePaused = 500
 )
@@ -63,8 +65,11 @@
 		attempts: make(map[request.AttemptID]*attempt),
 	}
 	h.core = control.New(control.Options{
-		Self:   h.self,
-		Seeds:  w.seeds(id),
+		Self:  h.self,
+		Seeds: w.seeds(id),
+		// The callers' clocks are right. A wider bound would make the outcome of
+		// the first requests after the start of the fleet unknown.
+		Keys:   request.Limits{MaxSkew: callerSkew},
 		Random: rand.New(rand.NewPCG(w.random.Uint64(), w.random.Uint64())),
 		Clock:  func() time.Time { return w.now },
 	})
--- a/faultmatrix/requestcaller.go
+++ b/faultmatrix/requestcaller.go
@@ -49,7 +49,7 @@
 }
 
 func (r *requestCallers) start() {
-	r.world.after(3*time.Second, func() { r.world.every(requestInterval, r.send) })
+	r.world.after(warmUp-time.Second, func() { r.world.every(requestInterval, r.send) })
 }
 
 // newKey returns a UUID of version 7 from virtual time and the world's seed.
--- a/flow/copy.go
+++ b/flow/copy.go
@@ -87,8 +87,7 @@
 func (r *Router) refresh(now time.Time, out map[fleet.HostID]*recordsBuilder) {
 	for _, s := range r.services {
 		idle := s.idleTimeout()
-		for _, slot := range s.splitSlots() {
-			state := s.splits[slot]
+		for _, state := range s.orderedSplits() {
 			if r.copier.budget <= 0 {
 				return
 			}
--- a/flow/fetch.go
+++ b/flow/fetch.go
@@ -72,14 +72,13 @@
 // unknownSlots returns the slots to fetch, and marks them with the ID of the fetch.
 func (r *Router) unknownSlots(s *service, id uint64) []uint16 {
 	var slots []uint16
-	for slot, state := range s.splits {
+	for _, state := range s.orderedSplits() {
 		if state.owner == r.view.Self && state.fetch == 0 && state.live.current() == authorityNone {
 			state.fetch = id
 			state.live.grant(authorityNone)
-			slots = append(slots, slot)
+			slots = append(slots, state.slot)
 		}
 	}
-	slices.Sort(slots)
 	return slots
 }
 
--- a/flow/service.go
+++ b/flow/service.go
@@ -21,6 +21,7 @@
 	agreed  []uint16
 	epochs  map[uint16]uint32
 	splits  map[uint16]*slotState
+	ordered []*slotState // the splits by slot; nil when it must be built again
 	servers []serverView
 	view    *serviceView // nil when it must be built again
 }
@@ -253,7 +254,7 @@
 	}
 	state.preference, state.target = s.prefer(slot), s.target[slot]
 	s.splits[slot] = state
-	s.view = nil
+	s.view, s.ordered = nil, nil
 	r.stats.splits.Add(1)
 	r.assignOwner(s, state)
 	if state.owner == r.view.Self {
@@ -271,7 +272,7 @@
 	state.live.records = recordSet{}
 	state.live.mu.Unlock()
 	delete(s.splits, slot)
-	s.view = nil
+	s.view, s.ordered = nil, nil
 	r.dirty = true
 	r.stats.splits.Add(-1)
 }
@@ -301,7 +302,7 @@
 // assignOwners finds the owner and the successor of every split slot.
 func (r *Router) assignOwners() {
 	for _, s := range r.services {
-		for _, state := range s.splits {
+		for _, state := range s.orderedSplits() {
 			r.assignOwner(s, state)
 		}
 		if len(s.splits) > 0 {
@@ -327,7 +328,7 @@
 // host knows by now that the slot is split.
 func (r *Router) settle(now time.Time) {
 	for _, s := range r.services {
-		for _, state := range s.splits {
+		for _, state := range s.orderedSplits() {
 			state.announced = true
 			if state.settled.IsZero() {
 				state.settled = now
--- a/flow/sweep.go
+++ b/flow/sweep.go
@@ -18,8 +18,8 @@
 	var sends []fleet.Send
 	given := make(map[fleet.HostID]*recordsBuilder)
 	for _, s := range r.services {
-		for slot := r.sweepAt; slot < SlotCount; slot += sweepShare {
-			if state := s.splits[uint16(slot)]; state != nil {
+		for _, state := range s.orderedSplits() {
+			if int(state.slot)%sweepShare == r.sweepAt {
 				r.expire(now, s, state)
 				r.giveUp(now, s, state, given)
 			}
@@ -63,9 +63,9 @@
 // over returns the split slots that this host may retire.
 func (r *Router) over(now time.Time, s *service) []uint16 {
 	var over []uint16
-	for _, slot := range s.splitSlots() {
-		if r.isOver(now, s, s.splits[slot]) {
-			over = append(over, slot)
+	for _, state := range s.orderedSplits() {
+		if r.isOver(now, s, state) {
+			over = append(over, state.slot)
 		}
 	}
 	return over
--- a/flow/sync.go
+++ b/flow/sync.go
@@ -1,6 +1,8 @@
 package flow
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -106,13 +108,23 @@
 // splitSlots returns the split slots in order.
 func (s *service) splitSlots() []uint16 {
 	slots := make([]uint16, 0, len(s.splits))
-	for slot := range s.splits {
-		slots = append(slots, slot)
+	for _, state := range s.orderedSplits() {
+		slots = append(slots, state.slot)
 	}
-	slices.Sort(slots)
 	return slots
 }
 
+// orderedSplits returns the split slots by slot. The caller must not modify the
+// slice; it stays as it is when splits come or go.
+func (s *service) orderedSplits() []*slotState {
+	if s.ordered == nil && len(s.splits) > 0 {
+		s.ordered = slices.SortedFunc(maps.Values(s.splits), func(a, b *slotState) int {
+			return cmp.Compare(a.slot, b.slot)
+		})
+	}
+	return s.ordered
+}
+
 // agreedSlots groups slots by their agreed server and epoch.
 func (s *service) agreedSlots(slots []uint16) []AgreedSlots {
 	type group struct {
