--- a/flow/fetch.go
+++ b/flow/fetch.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -71,14 +72,13 @@
 // unknownSlots returns the slots to fetch, and marks them with the ID of the fetch.
 func (r *Router) unknownSlots(s *service, id uint64) []uint16 {
 	var slots []uint16
-	for slot, state := range s.splits {
+	for _, state := range s.orderedSplits() {
 		if state.owner == r.view.Self && state.fetch == 0 && state.live.current() == authorityNone {
 			state.fetch = id
 			state.live.grant(authorityNone)
-			slots = append(slots, slot)
+			slots = append(slots, state.slot)
 		}
 	}
-	slices.Sort(slots)
 	return slots
 }
 
@@ -97,7 +97,8 @@
 // are gone.
 func (r *Router) repeatFetches(now time.Time) []fleet.Send {
 	var sends []fleet.Send
-	for _, f := range r.fetches {
+	for _, id := range slices.Sorted(maps.Keys(r.fetches)) {
+		f := r.fetches[id]
 		for peer := range f.waiting {
 			if !slices.Contains(r.view.Hosts, peer) {
 				delete(f.waiting, peer)
