Watch silent flows, resync after a pause, and warm up servers of UDP services

Cause: three parts of the router had no shell: flows whose server fell silent were never ended, a paused host kept its split slots, a planned stop left after a fixed time. Servers of UDP services never warmed up, since a host sees no answer. Change: packet workers ask flow.Silence; the core resyncs the router when it notices a pause and leaves once the slots are taken over, 4 s at most; a forwarded new UDP flow counts as served.

--- a/backend/handshake.go
+++ b/backend/handshake.go
@@ -31,7 +31,8 @@
 	at     time.Time
 }
 
-// Packet is what Handshakes needs to know of a TCP packet that was forwarded.
+// Packet is what Handshakes needs to know of a packet that was forwarded. The
+// flags are those of TCP.
 type Packet struct {
 	Key           fleet.FlowKey
 	SYN, ACK, RST bool
@@ -39,16 +40,19 @@
 }
 
 // Observe notes a packet that was forwarded, and returns the evidence that it
-// is, if any. Packets of other protocols are ignored.
+// is, if any.
 func (h *Handshakes) Observe(now time.Time, p Packet) (Evidence, bool) {
-	if p.Key.Protocol != fleet.ProtocolTCP {
-		return Evidence{}, false
-	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	seen, ok := h.open[p.Key]
 	ok = ok && seen.server == p.Server && now.Sub(seen.at) < handshakeAge
 	switch {
+	case p.Key.Protocol == fleet.ProtocolUDP && ok:
+	case p.Key.Protocol == fleet.ProtocolUDP:
+		// No packet shows that the server answered. That a new flow was
+		// forwarded to it has to do; health reports tell when it fails.
+		h.watch(p.Key, handshake{server: p.Server, at: now})
+		return Evidence{Server: p.Server, Kind: EvidenceServed}, true
 	case p.SYN && ok:
 		return Evidence{Server: p.Server, Kind: EvidenceRepeatedSYN}, true
 	case p.SYN:
--- a/command/command.go
+++ b/command/command.go
@@ -49,6 +49,7 @@
 		&Serve{},
 		&Try{},
 		&Matrix{},
+		&Replay{},
 	}
 }
 
--- a/control/core.go
+++ b/control/core.go
@@ -53,7 +53,9 @@
 	listed  hostList
 
 	seeded    bool
-	stopping  bool
+	stopping  time.Time // when a planned stop began; zero: not
+	left      bool
+	stale     bool      // the host was paused, and nobody has confirmed it since
 	installed installed // the inputs that the parts have
 	published installed // the inputs of the last snapshot
 	now       atomic.Pointer[time.Time]
@@ -173,6 +175,7 @@
 
 func (c *Core) tick(now time.Time) Output {
 	out := sent(c.members.Tick(now))
+	out.add(c.notePause(now))
 	out.add(effects(c.keys.Tick(now)))
 	out.add(sent(c.flows.Tick(now)))
 	if c.isStopping() {
@@ -186,6 +189,17 @@
 	return out
 }
 
+// notePause makes the router learn again which slots are split once the host
+// notices that it was paused: peers may have taken its slots meanwhile.
+func (c *Core) notePause(now time.Time) Output {
+	was := c.stale
+	c.stale = c.members.Stale(now)
+	if !c.stale || was {
+		return Output{}
+	}
+	return sent(c.flows.Resync(now))
+}
+
 // observePeers tells the rollout which revisions the peers' heartbeats name.
 func (c *Core) observePeers(now time.Time) {
 	for _, m := range c.members.Members() {
@@ -244,7 +258,8 @@
 // leave ends the membership once the new owners had time to ask for what this
 // host knows.
 func (c *Core) leave(now time.Time) Output {
-	if c.left || now.Sub(c.stopping) < LeaveAfter {
+	waited := now.Sub(c.stopping)
+	if c.left || waited < LeaveAfter || waited < MaxLeave && !c.flows.Stopped() {
 		return Output{}
 	}
 	c.left = true
--- a/control/event.go
+++ b/control/event.go
@@ -116,8 +116,12 @@
 // TickInterval is how often the shell gives a Tick.
 const TickInterval = 100 * time.Millisecond
 
-// LeaveAfter is how long after a StopRequested a host leaves the membership.
-const LeaveAfter = 1500 * time.Millisecond
+// A host leaves the membership after a StopRequested once all its slots have new
+// owners, between LeaveAfter and MaxLeave.
+const (
+	LeaveAfter = 1500 * time.Millisecond
+	MaxLeave   = 4 * time.Second
+)
 
 // StaleAfter is how long the control state may stand still before traffic
 // goroutines stop deciding by it: the process was paused, and others may have
--- a/host/host.go
+++ b/host/host.go
@@ -20,6 +20,7 @@
 	"github.com/rattanthread/rattanthread/backend"
 	"github.com/rattanthread/rattanthread/control"
 	"github.com/rattanthread/rattanthread/fleet"
+	"github.com/rattanthread/rattanthread/flow"
 	"github.com/rattanthread/rattanthread/peer"
 	"github.com/rattanthread/rattanthread/platform"
 	"github.com/rattanthread/rattanthread/settings"
@@ -50,6 +51,15 @@
 	state   atomic.Pointer[status.Host]
 }
 
+// maxSilence bounds the flows that are watched for silence.
+const maxSilence = 1 << 16
+
+// flowKey returns the key of the flow hash, which all hosts share.
+func flowKey(key []byte) (hash [16]byte) {
+	copy(hash[:], key)
+	return hash
+}
+
 // parts are what a running host is made of.
 type parts struct {
 	self      fleet.Host
@@ -60,6 +70,7 @@
 	client    *platform.Client
 	loop      *loop
 	handshake backend.Handshakes
+	silence   *flow.Silence
 	requests  *requestDoor
 }
 
@@ -137,6 +148,7 @@
 		key:      key,
 		sockets:  s,
 		counters: c,
+		silence:  &flow.Silence{Flows: min(h.Settings.Limits.FlowRecords, maxSilence), Key: flowKey(key)},
 		client:   &platform.Client{URL: h.Settings.Platform.URL, Timeout: h.Settings.Platform.Timeout},
 	}
 	p.loop = newLoop(h, p)
--- a/host/loop.go
+++ b/host/loop.go
@@ -49,8 +49,6 @@
 
 func (l *loop) newCore() *control.Core {
 	s := l.host.Settings
-	var flowKey [16]byte
-	copy(flowKey[:], l.parts.key)
 	seed := uint64(l.host.Incarnation)
 	return control.New(control.Options{
 		Self:    l.parts.self,
@@ -59,7 +57,7 @@
 		Timing:  membership.Timing{Probe: s.Peers.Heartbeat, Suspicion: s.Peers.Suspicion},
 		Flows:   flow.Limits{Records: s.Limits.ExceptionalFlow},
 		Keys:    request.Limits{Keys: s.Limits.RequestKeys, MaxSkew: s.Limits.CallerClockSkew},
-		FlowKey: flowKey,
+		FlowKey: flowKey(l.parts.key),
 		Clock:   l.host.Now,
 	})
 }
--- a/host/packets.go
+++ b/host/packets.go
@@ -103,10 +103,23 @@
 	}
 	input := w.input(from)
 	decision := w.parts.loop.core.Load().Router().Decide(now, &input)
+	if decision.Action == flow.Forward && w.parts.silence.Observe(now, &input, decision.SilentTimeout) {
+		w.end()
+		return
+	}
 	w.counts.decided(decision.Action, decision.Reason)
 	w.act(now, &input, &decision)
 }
 
+// reasonSilent ends a flow whose server has stopped answering.
+const reasonSilent flow.Reason = "silent"
+
+// end resets a flow that has gone silent, so that the caller opens a new one.
+func (w *worker) end() {
+	w.counts.decided(flow.Reset, reasonSilent)
+	w.reset()
+}
+
 // reasonStale refuses packets while the control state stands still.
 const reasonStale packet.Reason = "stale"
 
