--- /dev/null
+++ b/capacity/phases.go
@@ -0,0 +1,112 @@
+package capacity
+
+import (
+	"time"
+
+	"github.com/rattanthread/rattanthread/backend"
+	"github.com/rattanthread/rattanthread/control"
+	"github.com/rattanthread/rattanthread/fleet"
+	"github.com/rattanthread/rattanthread/membership"
+)
+
+const (
+	probeInterval = 500 * time.Millisecond // between the pings of a host
+	pollInterval  = 250 * time.Millisecond // between the credit polls of a keeper
+	confirmation  = 10 * time.Second       // between answers of the platform
+	recordsPart   = 100                    // records in one message
+)
+
+type phase struct {
+	phase Phase
+	span  time.Duration
+	begin func()
+}
+
+func (r *run) phases() []phase {
+	return []phase{
+		{PhaseStart, 30 * time.Second, r.begin},
+		{PhaseCold, 5 * time.Second, func() {}},
+		{PhaseSteady, 30 * time.Second, func() { r.record(fleet.ServerWarm, func(int) bool { return true }) }},
+		{PhaseChange, 10 * time.Second, func() { r.revise(2) }},
+		{PhaseDeath, 15 * time.Second, func() { r.peers.dead[r.peers.hosts[len(r.peers.hosts)-1].ID] = true; r.tell() }},
+		{PhaseReturn, 5 * time.Second, func() { r.record(fleet.ServerCold, r.isFirstCentre) }},
+	}
+}
+
+func (r *run) begin() {
+	for i := range r.size.Servers {
+		r.cold[r.size.server(i).Name] = true
+	}
+	r.step(&control.HostsRead{Hosts: r.peers.hosts})
+	r.revise(1)
+}
+
+func (r *run) revise(revision fleet.Revision) {
+	r.step(&control.RevisionRead{Revised: r.size.configuration(revision)})
+}
+
+func (r *run) isFirstCentre(server int) bool {
+	return r.size.server(server).DataCentre == r.size.centre(0)
+}
+
+// tell has a peer report that the dead one is dead.
+func (r *run) tell() {
+	lost := claimOf(r.peers.hosts[len(r.peers.hosts)-1], false)
+	lost.Status = membership.Dead
+	from := r.peers.any()
+	header := r.peers.header(from)
+	header.News = []membership.Claim{lost}
+	r.receive(from.ID, &membership.Gossip{Header: header})
+}
+
+// record has a peer tell the phase of the chosen servers.
+func (r *run) record(p fleet.ServerPhase, chosen func(int) bool) {
+	from := r.peers.any()
+	incarnation := fleet.Incarnation(r.now.Unix())
+	for first := 0; first < r.size.Servers; first += recordsPart {
+		records := new(backend.Records)
+		for i := first; i < min(first+recordsPart, r.size.Servers); i++ {
+			if !chosen(i) {
+				continue
+			}
+			id := r.size.server(i).Name
+			r.cold[id] = p == fleet.ServerCold
+			records.Records = append(records.Records, fleet.ServerRecord{Server: id, Phase: p, Incarnation: incarnation, Sequence: 1})
+		}
+		r.receive(from.ID, records)
+	}
+}
+
+// run lets virtual time pass.
+func (r *run) run(span time.Duration) {
+	for end := r.now.Add(span); r.now.Before(end); {
+		r.now = r.now.Add(control.TickInterval / 2)
+		passed := r.now.Sub(started)
+		if passed%control.TickInterval == 0 {
+			r.step(&control.Tick{})
+		}
+		if passed%probeInterval == 0 {
+			from := r.peers.any()
+			r.receive(from.ID, &membership.Ping{Header: r.peers.header(from), Sequence: uint64(passed)})
+		}
+		if passed%pollInterval == 0 {
+			r.pollAll()
+		}
+		if passed%confirmation == 0 {
+			r.step(&control.PlatformAnswered{Revision: 1})
+		}
+	}
+}
+
+// pollAll has every peer that keeps cold servers poll the measured host.
+func (r *run) pollAll() {
+	r.peers.poll++
+	for _, h := range r.peers.hosts[1:] {
+		if r.peers.dead[h.ID] {
+			continue
+		}
+		if poll := r.peers.pollOf(h.ID, r.cold); poll != nil {
+			r.receive(h.ID, poll)
+		}
+	}
+}
--- /dev/null
+++ b/capacity/size.go
@@ -0,0 +1,89 @@
+package capacity
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/rattanthread/rattanthread/config"
+	"github.com/rattanthread/rattanthread/fleet"
+)
+
+// Size is the size of a fleet.
+type Size struct {
+	Centres  int
+	Hosts    int
+	Services int
+	Servers  int
+}
+
+// started is the virtual time at which every measurement starts.
+var started = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// centre returns the data centre of the object with the given number.
+func (s Size) centre(i int) fleet.DataCentreID {
+	return fleet.DataCentreID(fmt.Sprintf("tp%d", i%s.Centres+1))
+}
+
+// hosts returns the entry hosts. The first is the one that is measured.
+func (s Size) hosts() []fleet.Host {
+	hosts := make([]fleet.Host, s.Hosts)
+	for i := range hosts {
+		address := netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i)})
+		hosts[i] = fleet.Host{
+			ID:             fleet.HostID(fmt.Sprintf("host-%03d", i)),
+			DataCentre:     s.centre(i),
+			Incarnation:    1,
+			PeerAddress:    netip.AddrPortFrom(address, 6083),
+			HandoffAddress: netip.AddrPortFrom(address, 6082),
+		}
+	}
+	return hosts
+}
+
+// configuration returns a configuration; every second service is for requests.
+func (s Size) configuration(revision fleet.Revision) config.Revised {
+	var set config.Set
+	for i := range s.Centres {
+		set.DataCentres = append(set.DataCentres, config.DataCentre{
+			Name: s.centre(i), Region: fleet.RegionID(fmt.Sprintf("r%d", i%2+1)), State: config.StateIn,
+		})
+	}
+	for i := range s.Services {
+		set.Services = append(set.Services, s.service(i))
+	}
+	for i := range s.Servers {
+		set.Servers = append(set.Servers, s.server(i))
+	}
+	// One server changes with each revision.
+	set.Servers[0].Weight = fleet.Weight(100 + revision)
+	return config.Revised{
+		History: "h", Revision: revision, Published: started, Publication: fmt.Sprint("p", revision), Set: set.Normalised(),
+	}
+}
+
+func (s Size) service(i int) config.Service {
+	service := config.Service{Name: serviceName(i)}
+	if i%2 == 1 {
+		service.Kind = config.KindRequest
+		service.Host = string(service.Name) + ".example"
+		return service
+	}
+	service.Kind = config.KindFlow
+	service.Protocol = "tcp"
+	service.Address = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 2, byte(i >> 8), byte(i)}), 443)
+	return service
+}
+
+func serviceName(i int) fleet.ServiceName {
+	return fleet.ServiceName(fmt.Sprintf("service-%03d", i))
+}
+
+func (s Size) server(i int) config.Server {
+	return config.Server{
+		Name:       fleet.ServerID(fmt.Sprintf("server-%04d", i)),
+		Service:    serviceName(i % s.Services),
+		DataCentre: s.centre(i / s.Services),
+		Address:    netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 3, byte(i >> 8), byte(i)}), 443),
+	}
+}
