Survive a crash of the control state, and fix a race in Host.Status

Cause: the door kept the credit of the first core, which a restarted control state no longer fills; Status read settings while Run filled in their defaults (found by the race detector). Change: the door asks for the credit; defaults are filled in once. A test crashes the control goroutine.

--- a/door/door.go
+++ b/door/door.go
@@ -29,7 +29,8 @@
 	Report func(id request.AttemptID, r request.Result)
 	// Observe gets evidence about backend servers.
 	Observe func(e backend.Evidence)
-	Credit  *backend.Credit
+	// Credit returns the credit that this host holds. Nil means none.
+	Credit  func() *backend.Credit
 	Picker  backend.Picker
 	Retries request.Retries
 	// Admission bounds the requests that run at once.
@@ -74,7 +75,7 @@
 		setDefault(&d.Random, rand.Float64)
 		setDefault(&d.IntN, rand.IntN)
 		if d.Credit == nil {
-			d.Credit = &backend.Credit{}
+			d.Credit = func() *backend.Credit { return &backend.Credit{} }
 		}
 		if d.Transport == nil {
 			d.Transport = NewTransport()
--- a/door/exchange.go
+++ b/door/exchange.go
@@ -160,7 +160,8 @@
 		candidates = append(candidates, s.Candidate)
 	}
 	now := x.door.Now()
-	take := x.door.Credit.Take // the first choice counts as demand, others do not
+	credit := x.door.Credit()
+	take := credit.Take // the first choice counts as demand, others do not
 	for len(candidates) > 0 {
 		i := x.door.Picker.Pick(now, candidates, x.door.IntN)
 		if i < 0 {
@@ -169,7 +170,7 @@
 		if servers[i].Admission == backend.AdmitFreely || take(now, servers[i].Server) {
 			return servers[i], true
 		}
-		take = x.door.Credit.TakeSpare
+		take = credit.TakeSpare
 		servers = append(servers[:i], servers[i+1:]...)
 		candidates = append(candidates[:i], candidates[i+1:]...)
 	}
--- a/host/host.go
+++ b/host/host.go
@@ -74,9 +74,11 @@
 	requests  *requestDoor
 }
 
+// init fills in what was left zero. Every exported method calls it first.
 func (h *Host) init() {
 	h.once.Do(func() {
 		h.killed = make(chan struct{})
+		h.Settings = h.Settings.Normalised()
 		if h.Logger == nil {
 			h.Logger = hclog.NewNullLogger()
 		}
@@ -96,7 +98,6 @@
 // the settings are wrong or a socket cannot be opened.
 func (h *Host) Run(ctx context.Context) error {
 	h.init()
-	h.Settings = h.Settings.Normalised()
 	if err := h.Settings.Validate(); err != nil {
 		return errors.Wrap(err, "check settings")
 	}
@@ -125,6 +126,7 @@
 
 // Status returns what the host says of itself.
 func (h *Host) Status() status.Host {
+	h.init()
 	if s := h.state.Load(); s != nil {
 		return *s
 	}
--- a/host/host_test.go
+++ b/host/host_test.go
@@ -16,6 +16,7 @@
 	"github.com/matryer/is"
 
 	"github.com/rattanthread/rattanthread/config"
+	"github.com/rattanthread/rattanthread/control"
 	"github.com/rattanthread/rattanthread/fleet"
 	"github.com/rattanthread/rattanthread/host"
 	"github.com/rattanthread/rattanthread/platform"
@@ -49,9 +50,19 @@
 	changed  chan struct{}
 	stop     map[fleet.HostID]context.CancelFunc
 	done     sync.WaitGroup
+	record   func(time.Time, control.Event)
 }
 
 func startFleet(t *testing.T, url string, ids ...fleet.HostID) *fleetOf {
+	f := newFleet(t, url, ids...)
+	for _, id := range ids {
+		f.start(id)
+	}
+	return f
+}
+
+// newFleet makes settings for hosts that start later.
+func newFleet(t *testing.T, url string, ids ...fleet.HostID) *fleetOf {
 	f := &fleetOf{
 		t:        t,
 		hosts:    make(map[fleet.HostID]*host.Host),
@@ -69,14 +80,13 @@
 			Peers:      settings.Peers{Key: testKey},
 			Limits:     settings.Limits{CallerClockSkew: 10 * time.Millisecond},
 		}
-		f.start(id)
 	}
 	t.Cleanup(f.stopAll)
 	return f
 }
 
 func (f *fleetOf) start(id fleet.HostID) {
-	h := &host.Host{Settings: f.settings[id], Notify: f.notify}
+	h := &host.Host{Settings: f.settings[id], Notify: f.notify, Record: f.record}
 	ctx, cancel := context.WithCancel(context.Background())
 	f.hosts[id], f.stop[id] = h, cancel
 	f.done.Go(func() {
@@ -189,6 +199,47 @@
 	is.Equal(len(runs), 1) // the later attempts got the first one's answer
 }
 
+// A crash of the control state must not stop the traffic for good.
+func TestControlRestartsAfterCrash(t *testing.T) {
+	is := is.New(t)
+	store := httptest.NewServer(&platformstandin.Server{})
+	t.Cleanup(store.Close)
+	publish(t, store.URL, requestSet(scoreServer(t, make(chan string, 100))))
+	f := newFleet(t, store.URL, "a1")
+	crash := make(chan struct{}, 1)
+	f.record = func(time.Time, control.Event) {
+		select {
+		case <-crash:
+			panic("a test wants the control state to crash")
+		default:
+		}
+	}
+	f.start("a1")
+	f.await(func(s status.Host) bool { return s.Ready && isWarm(s) })
+	crash <- struct{}{}
+	f.await(func(status.Host) bool { return len(crash) == 0 })
+	f.await(func(s status.Host) bool { return s.Ready && isWarm(s) })
+	firstKey(t, f.settings["a1"].Listen.Request)
+	is.Equal(restarts(t, f.hosts["a1"]), 1.0)
+}
+
+func restarts(t *testing.T, h *host.Host) float64 {
+	t.Helper()
+	is := is.New(t)
+	families, err := h.Registry.Gather()
+	is.NoErr(err)
+	var total float64
+	for _, family := range families {
+		if family.GetName() != "rattanthread_part_restarts_total" {
+			continue
+		}
+		for _, m := range family.GetMetric() {
+			total += m.GetCounter().GetValue()
+		}
+	}
+	return total
+}
+
 func isWarm(s status.Host) bool {
 	return len(s.Servers) > 0
 }
--- a/host/requests.go
+++ b/host/requests.go
@@ -46,7 +46,7 @@
 		Claim:          d.claim,
 		Report:         d.reportResult,
 		Observe:        p.loop.observe,
-		Credit:         p.loop.core.Load().Credit(),
+		Credit:         func() *backend.Credit { return p.loop.core.Load().Credit() },
 		MaxHeaderBytes: maxHeaderBytes,
 		Transport:      door.NewTransport(),
 		Now:            h.Now,
