control: Look a peer's revision up instead of listing all members

Cause: each message and each tick copied and sorted the whole member list, which grows with the fleet. Change: one lookup by host.

--- a/control/core.go
+++ b/control/core.go
@@ -55,6 +55,7 @@
 	seeded    bool
 	stopping  time.Time // when a planned stop began; zero: not
 	left      bool
+	observed  uint64    // version of the members whose revisions were observed
 	stale     bool      // the host was paused, and nobody has confirmed it since
 	installed installed // the inputs that the parts have
 	published installed // the inputs of the last snapshot
@@ -202,9 +203,9 @@
 
 // observePeers tells the rollout which revisions the peers' heartbeats name.
 func (c *Core) observePeers(now time.Time) {
-	for _, m := range c.members.Members() {
-		if m.Status == membership.Alive {
-			c.rollout.Observe(now, m.Host.ID, m.State.Revision)
+	for _, h := range c.members.Live() {
+		if h.ID != c.options.Self.ID {
+			c.rollout.Observe(now, h.ID, c.members.RevisionOf(h.ID))
 		}
 	}
 }
@@ -212,7 +213,7 @@
 // receive gives a message to the part that its kind belongs to.
 func (c *Core) receive(now time.Time, from fleet.HostID, m fleet.Message) Output {
 	if host, ok := c.members.Lookup(from); ok {
-		c.centres.Heard(now, host, c.revisionOf(from))
+		c.centres.Heard(now, host, c.members.RevisionOf(from))
 	}
 	switch partOf[m.Kind()] {
 	case partMembership:
@@ -232,15 +233,6 @@
 	}
 }
 
-func (c *Core) revisionOf(id fleet.HostID) fleet.Revision {
-	for _, m := range c.members.Members() {
-		if m.Host.ID == id {
-			return m.State.Revision
-		}
-	}
-	return 0
-}
-
 // stop hands over what this host owns. It goes on answering for LeaveAfter.
 func (c *Core) stop(now time.Time) Output {
 	if c.isStopping() {
--- a/membership/table.go
+++ b/membership/table.go
@@ -213,6 +213,14 @@
 	return fleet.Host{}, false
 }
 
+// RevisionOf returns the revision that a peer was last known to have in force, or 0.
+func (t *Table) RevisionOf(id fleet.HostID) fleet.Revision {
+	if m := t.members[id]; m != nil {
+		return m.State.Revision
+	}
+	return 0
+}
+
 // Changed returns a number that rises whenever Live or the answer of Settled
 // can have changed, other than by the end of a bounded wait.
 func (t *Table) Changed() uint64 { return t.version }
