Measure a host whose servers are warm before its tables are built

Peers of the measurement never retire splits, so a host that began with cold servers kept nearly all of its slots split, and the steady figures were those of a fleet that had just lost all servers. The host now learns that its servers are warm first. The cost of a start without that knowledge is measured by Join.

--- a/capacity/peers.go
+++ b/capacity/peers.go
@@ -43,6 +43,8 @@
 
 func (p *peers) self() fleet.Host { return p.hosts[0] }
 
+func (p *peers) last() fleet.Host { return p.hosts[len(p.hosts)-1] }
+
 // any returns a random peer that is running.
 func (p *peers) any() fleet.Host {
 	for {
--- a/capacity/phases.go
+++ b/capacity/phases.go
@@ -1,6 +1,8 @@
 package capacity
 
 import (
+	"math/rand/v2"
+	"runtime"
 	"time"
 
 	"github.com/rattanthread/rattanthread/backend"
@@ -24,21 +26,27 @@
 
 func (r *run) phases() []phase {
 	return []phase{
-		{PhaseStart, 30 * time.Second, r.begin},
-		{PhaseCold, 5 * time.Second, func() {}},
-		{PhaseSteady, 30 * time.Second, func() { r.record(fleet.ServerWarm, func(int) bool { return true }) }},
-		{PhaseChange, 10 * time.Second, func() { r.revise(2) }},
-		{PhaseDeath, 15 * time.Second, func() { r.peers.dead[r.peers.hosts[len(r.peers.hosts)-1].ID] = true; r.tell() }},
-		{PhaseReturn, 5 * time.Second, func() { r.record(fleet.ServerCold, r.isFirstCentre) }},
+		{PhaseStart, 10 * time.Second, r.begin},
+		{PhaseAdopt, 2 * time.Second, r.adopt},
+		{PhaseSteady, 20 * time.Second, func() {}},
+		{PhaseChange, 10 * time.Second, func() { r.revise(3) }},
+		{PhaseDeath, 10 * time.Second, func() { r.peers.dead[r.peers.last().ID] = true; r.tell() }},
+		{PhaseCold, 2 * time.Second, func() { r.record(fleet.ServerCold, r.isFirstCentre) }},
 	}
 }
 
+// begin gives the host the servers without the services, so that it knows that
+// they are warm before it builds its tables.
 func (r *run) begin() {
-	for i := range r.size.Servers {
-		r.cold[r.size.server(i).Name] = true
-	}
 	r.step(&control.HostsRead{Hosts: r.peers.hosts})
-	r.revise(1)
+	first := r.size.configuration(1)
+	first.Set.Services = nil
+	r.step(&control.RevisionRead{Revised: first})
+}
+
+func (r *run) adopt() {
+	r.record(fleet.ServerWarm, func(int) bool { return true })
+	r.revise(2)
 }
 
 func (r *run) revise(revision fleet.Revision) {
@@ -51,7 +59,7 @@
 
 // tell has a peer report that the dead one is dead.
 func (r *run) tell() {
-	lost := claimOf(r.peers.hosts[len(r.peers.hosts)-1], false)
+	lost := claimOf(r.peers.last(), false)
 	lost.Status = membership.Dead
 	from := r.peers.any()
 	header := r.peers.header(from)
@@ -110,3 +118,21 @@
 		}
 	}
 }
+
+// Join gives a host the whole configuration while it knows of no warm server, as
+// at its start, and returns the cost until the first tables are built.
+func Join(size Size) Cost {
+	r := &run{size: size, peers: newPeers(size), now: started, empty: heap()}
+	r.cost = &Cost{Phase: PhaseJoin, Kinds: make(map[fleet.MessageKind]int)}
+	r.core = control.New(control.Options{Self: r.peers.self(), Random: rand.New(rand.NewPCG(1, 2))})
+	r.step(&control.HostsRead{Hosts: r.peers.hosts})
+	r.revise(1)
+	for len(r.core.Snapshot().Records) == 0 {
+		r.now = r.now.Add(control.TickInterval)
+		r.step(&control.Tick{})
+	}
+	r.cost.Span = r.now.Sub(started)
+	r.cost.Heap = heap() - r.empty
+	runtime.KeepAlive(r)
+	return *r.cost
+}
