--- a/capacity/peers.go
+++ b/capacity/peers.go
@@ -7,6 +7,7 @@
 	"github.com/rattanthread/rattanthread/fleet"
 	"github.com/rattanthread/rattanthread/flow"
 	"github.com/rattanthread/rattanthread/membership"
+	"github.com/rattanthread/rattanthread/request"
 )
 
 // peers are the other hosts. They hold what the measured host holds, and answer
@@ -17,6 +18,7 @@
 	state  membership.State // of the measured host, which all of them adopt
 	acks   membership.Acks
 	random *rand.Rand
+	lease  request.LeaseAsk // the last of the measured host
 	poll   backend.PollID
 	ask    backend.AskID
 	kept   map[fleet.HostID][]fleet.ServerID
@@ -91,6 +93,11 @@
 		return p.answerPoll(m)
 	case *backend.CreditAsk:
 		return grantStock(m)
+	case *request.LeaseAsk:
+		p.lease = *m
+		return &request.LeasePromise{Ring: m.Ring, Number: m.Number, Given: true, Settled: true}
+	case *request.HistoryAsk:
+		return &request.HistoryPart{Ring: m.Ring, Last: true, Settled: true}
 	case *flow.Fetch:
 		return &flow.Records{ID: m.ID, Parts: 1}
 	}
--- a/capacity/phases.go
+++ b/capacity/phases.go
@@ -14,6 +14,7 @@
 const (
 	probeInterval = 500 * time.Millisecond // between the pings of a host
 	pollInterval  = 250 * time.Millisecond // between the credit polls of a keeper
+	leaseInterval = 500 * time.Millisecond // between the lease asks of an owner of keys
 	confirmation  = 10 * time.Second       // between answers of the platform
 	recordsPart   = 100                    // records in one message
 )
@@ -35,10 +36,13 @@
 	}
 }
 
-// begin gives the host the servers without the services, so that it knows that
+// begin lets the host hear of every peer and gives it the servers without the services, so that it knows that
 // they are warm before it builds its tables.
 func (r *run) begin() {
 	r.step(&control.HostsRead{Hosts: r.peers.hosts})
+	for i, h := range r.peers.hosts[1:] {
+		r.receive(h.ID, &membership.Ping{Header: r.peers.header(h), Sequence: uint64(i)})
+	}
 	first := r.size.configuration(1)
 	first.Set.Services = nil
 	r.step(&control.RevisionRead{Revised: first})
@@ -97,6 +101,9 @@
 			from := r.peers.any()
 			r.receive(from.ID, &membership.Ping{Header: r.peers.header(from), Sequence: uint64(passed)})
 		}
+		if passed%leaseInterval == 0 && r.peers.lease.Ring != 0 {
+			r.askLeases()
+		}
 		if passed%pollInterval == 0 {
 			r.pollAll()
 		}
@@ -106,6 +113,16 @@
 	}
 }
 
+// askLeases has every peer of the data centre ask for its lease.
+func (r *run) askLeases() {
+	for _, h := range r.peers.hosts[1:] {
+		if !r.peers.dead[h.ID] && h.DataCentre == r.peers.self().DataCentre {
+			ask := r.peers.lease
+			r.receive(h.ID, &ask)
+		}
+	}
+}
+
 // pollAll has every peer that keeps cold servers poll the measured host.
 func (r *run) pollAll() {
 	r.peers.poll++
