--- a/capacity/phases.go
+++ b/capacity/phases.go
@@ -1,6 +1,8 @@
 package capacity
 
 import (
+	"math/rand/v2"
+	"runtime"
 	"time"
 
 	"github.com/rattanthread/rattanthread/backend"
@@ -12,6 +14,7 @@
 const (
 	probeInterval = 500 * time.Millisecond // between the pings of a host
 	pollInterval  = 250 * time.Millisecond // between the credit polls of a keeper
+	leaseInterval = 500 * time.Millisecond // between the lease asks of an owner of keys
 	confirmation  = 10 * time.Second       // between answers of the platform
 	recordsPart   = 100                    // records in one message
 )
@@ -24,21 +27,30 @@
 
 func (r *run) phases() []phase {
 	return []phase{
-		{PhaseStart, 30 * time.Second, r.begin},
-		{PhaseCold, 5 * time.Second, func() {}},
-		{PhaseSteady, 30 * time.Second, func() { r.record(fleet.ServerWarm, func(int) bool { return true }) }},
-		{PhaseChange, 10 * time.Second, func() { r.revise(2) }},
-		{PhaseDeath, 15 * time.Second, func() { r.peers.dead[r.peers.hosts[len(r.peers.hosts)-1].ID] = true; r.tell() }},
-		{PhaseReturn, 5 * time.Second, func() { r.record(fleet.ServerCold, r.isFirstCentre) }},
+		{PhaseStart, 10 * time.Second, r.begin},
+		{PhaseAdopt, 2 * time.Second, r.adopt},
+		{PhaseSteady, 20 * time.Second, func() {}},
+		{PhaseChange, 10 * time.Second, func() { r.revise(3) }},
+		{PhaseDeath, 10 * time.Second, func() { r.peers.dead[r.peers.last().ID] = true; r.tell() }},
+		{PhaseCold, 2 * time.Second, func() { r.record(fleet.ServerCold, r.isFirstCentre) }},
 	}
 }
 
+// begin lets the host hear of every peer and gives it the servers without the services, so that it knows that
+// they are warm before it builds its tables.
 func (r *run) begin() {
-	for i := range r.size.Servers {
-		r.cold[r.size.server(i).Name] = true
-	}
 	r.step(&control.HostsRead{Hosts: r.peers.hosts})
-	r.revise(1)
+	for i, h := range r.peers.hosts[1:] {
+		r.receive(h.ID, &membership.Ping{Header: r.peers.header(h), Sequence: uint64(i)})
+	}
+	first := r.size.configuration(1)
+	first.Set.Services = nil
+	r.step(&control.RevisionRead{Revised: first})
+}
+
+func (r *run) adopt() {
+	r.record(fleet.ServerWarm, func(int) bool { return true })
+	r.revise(2)
 }
 
 func (r *run) revise(revision fleet.Revision) {
@@ -51,7 +63,7 @@
 
 // tell has a peer report that the dead one is dead.
 func (r *run) tell() {
-	lost := claimOf(r.peers.hosts[len(r.peers.hosts)-1], false)
+	lost := claimOf(r.peers.last(), false)
 	lost.Status = membership.Dead
 	from := r.peers.any()
 	header := r.peers.header(from)
@@ -89,6 +101,9 @@
 			from := r.peers.any()
 			r.receive(from.ID, &membership.Ping{Header: r.peers.header(from), Sequence: uint64(passed)})
 		}
+		if passed%leaseInterval == 0 && r.peers.lease.Ring != 0 {
+			r.askLeases()
+		}
 		if passed%pollInterval == 0 {
 			r.pollAll()
 		}
@@ -98,6 +113,16 @@
 	}
 }
 
+// askLeases has every peer of the data centre ask for its lease.
+func (r *run) askLeases() {
+	for _, h := range r.peers.hosts[1:] {
+		if !r.peers.dead[h.ID] && h.DataCentre == r.peers.self().DataCentre {
+			ask := r.peers.lease
+			r.receive(h.ID, &ask)
+		}
+	}
+}
+
 // pollAll has every peer that keeps cold servers poll the measured host.
 func (r *run) pollAll() {
 	r.peers.poll++
@@ -110,3 +135,21 @@
 		}
 	}
 }
+
+// Join gives a host the whole configuration while it knows of no warm server, as
+// at its start, and returns the cost until the first tables are built.
+func Join(size Size) Cost {
+	r := &run{size: size, peers: newPeers(size), now: started, empty: heap()}
+	r.cost = &Cost{Phase: PhaseJoin, Kinds: make(map[fleet.MessageKind]int)}
+	r.core = control.New(control.Options{Self: r.peers.self(), Random: rand.New(rand.NewPCG(1, 2))})
+	r.step(&control.HostsRead{Hosts: r.peers.hosts})
+	r.revise(1)
+	for len(r.core.Snapshot().Records) == 0 {
+		r.now = r.now.Add(control.TickInterval)
+		r.step(&control.Tick{})
+	}
+	r.cost.Span = r.now.Sub(started)
+	r.cost.Heap = heap() - r.empty
+	runtime.KeepAlive(r)
+	return *r.cost
+}
