Record the control events of a running host

Cause: traces could be recorded in code only. Change: serve -record FILE. The flow hash key is now derived from the shared key; before, it was its first half.

--- a/command/serve.go
+++ b/command/serve.go
@@ -8,11 +8,15 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/google/subcommands"
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/rattanthread/rattanthread/fleet"
 	"github.com/rattanthread/rattanthread/host"
+	"github.com/rattanthread/rattanthread/replay"
 	"github.com/rattanthread/rattanthread/settings"
 )
 
@@ -22,6 +26,7 @@
 	Err io.Writer
 
 	settings string
+	record   string
 }
 
 // Name returns the word that calls the command.
@@ -32,13 +37,16 @@
 
 // Usage explains the command.
 func (*Serve) Usage() string {
-	return `serve -settings FILE:
+	return `serve -settings FILE [-record FILE]:
   Run one entry host by its settings file; docs/SETTINGS.md describes every key.
 
   The host gets its configuration from the platform, or from its peers while the
   platform does not answer. SIGTERM or SIGINT starts a planned stop, which cuts
   no request and no flow; a second one ends the host at once.
 
+  With -record, the control events of this host are written to a new trace file,
+  which "rattanthread replay" runs; docs/TRACES.md describes it.
+
   The exit status is 0 after a stop, 1 when the host could not run, and 2 when
   the settings are wrong.
 
@@ -48,6 +56,7 @@
 // SetFlags defines the command's flags.
 func (c *Serve) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.settings, "settings", "", "the settings file of this host")
+	f.StringVar(&c.record, "record", "", "write the control events to this new file")
 }
 
 // Execute runs the command.
@@ -63,13 +72,58 @@
 		return subcommands.ExitUsageError
 	}
 	h := &host.Host{Settings: s, Logger: logger(s.Log, errs)}
-	if err := runUntilSignal(ctx, h); err != nil {
+	if err := c.run(ctx, h); err != nil {
 		_, _ = fmt.Fprintln(errs, "serve:", err)
 		return subcommands.ExitFailure
 	}
 	return subcommands.ExitSuccess
 }
 
+// run runs the host, and records its control events if that was asked for.
+func (c *Serve) run(ctx context.Context, h *host.Host) error {
+	if c.record == "" {
+		return runUntilSignal(ctx, h)
+	}
+	file, err := os.OpenFile(c.record, os.O_WRONLY|os.O_CREATE|os.O_EXCL, 0o644)
+	if err != nil {
+		return errors.Wrap(err, "open the trace")
+	}
+	h.Incarnation = fleet.Incarnation(time.Now().UnixNano())
+	recorder := &replay.Recorder{Out: file, Header: traceHeader(h)}
+	h.Record = recorder.Record
+	err = runUntilSignal(ctx, h)
+	if err := recorder.Err(); err != nil {
+		_, _ = fmt.Fprintln(orWriter(c.Err, os.Stderr), "serve: the trace is not complete:", err)
+	}
+	if closed := file.Close(); err == nil && closed != nil {
+		return errors.Wrap(closed, "close the trace")
+	}
+	return err
+}
+
+// traceHeader describes the host so that a replay makes the same choices.
+func traceHeader(h *host.Host) replay.Header {
+	s := h.Settings
+	header := replay.Header{
+		Self: replay.Host{
+			ID:          s.Host,
+			DataCentre:  s.DataCentre,
+			Incarnation: h.Incarnation,
+			Peer:        s.Listen.Peer,
+			Handoff:     s.Listen.Handoff,
+		},
+		Seed: uint64(h.Incarnation),
+	}
+	for _, seed := range s.Peers.Seeds {
+		if seed.Host != s.Host {
+			header.Seeds = append(header.Seeds, replay.Host{
+				ID: seed.Host, DataCentre: seed.DataCentre, Peer: seed.Peer, Handoff: seed.Handoff,
+			})
+		}
+	}
+	return header
+}
+
 func logger(l settings.Log, out io.Writer) hclog.Logger {
 	return hclog.New(&hclog.LoggerOptions{
 		Name:       "rattanthread",
--- a/host/host.go
+++ b/host/host.go
@@ -8,6 +8,8 @@
 
 import (
 	"context"
+	"crypto/hmac"
+	"crypto/sha256"
 	"encoding/hex"
 	"sync"
 	"sync/atomic"
@@ -54,10 +56,13 @@
 // maxSilence bounds the flows that are watched for silence.
 const maxSilence = 1 << 16
 
-// flowKey returns the key of the flow hash, which all hosts share.
-func flowKey(key []byte) (hash [16]byte) {
-	copy(hash[:], key)
-	return hash
+// flowKey derives the key of the flow hash from the key that all hosts share, so
+// that the one does not tell the other.
+func flowKey(key []byte) (derived [16]byte) {
+	mac := hmac.New(sha256.New, key)
+	_, _ = mac.Write([]byte("rattanthread flow hash"))
+	copy(derived[:], mac.Sum(nil))
+	return derived
 }
 
 // parts are what a running host is made of.
