--- a/capacity/phases.go
+++ b/capacity/phases.go
@@ -144,7 +144,7 @@
 	r.core = control.New(control.Options{Self: r.peers.self(), Random: rand.New(rand.NewPCG(1, 2))})
 	r.step(&control.HostsRead{Hosts: r.peers.hosts})
 	r.revise(1)
-	for len(r.core.Snapshot().Records) == 0 {
+	for r.core.Router().Stats().Splits == 0 {
 		r.now = r.now.Add(control.TickInterval)
 		r.step(&control.Tick{})
 	}
