--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -45,7 +45,7 @@
 		Confirmed:  c.centres.Confirmed(now),
 		Reader:     c.rollout.IsReader(),
 		NeedFetch:  c.rollout.NeedFetch(),
-		Stale:      c.members.Stale(now),
+		Stale:      c.members.Stale(now) && !c.isStopping(),
 		Superseded: c.members.Superseded(),
 	}
 	next.Ready = c.rollout.Ready() && c.flows.Ready() && !next.Stale && !c.isStopping()
--- a/host/describe.go
+++ b/host/describe.go
@@ -38,7 +38,7 @@
 	case !s.Configured:
 		return "no configuration from the platform or a peer yet"
 	default:
-		return "learning from peers, or stopping"
+		return "learning from its peers, or stopping as planned"
 	}
 }
 
