control: learn the split slots again after a pause or a refuted suspicion

Cause: nothing called flow.Router.Resync, so a host that had been paused went on to decide about slots that others had taken over meanwhile, and reset or moved their flows. Change: each Step looks for an interruption before and after its event. In the fakes a caller now sends the acknowledgement that ends a handshake at once, as TCP does; before, it kept silent for half a second.

--- a/control/core.go
+++ b/control/core.go
@@ -53,6 +53,8 @@
 
 	seeded    bool
 	stopping  bool
+	stale     bool      // as noticed by resync
+	notices   uint64    // interruptions noticed by resync
 	installed installed // the inputs that the parts have
 	published installed // the inputs of the last snapshot
 	now       atomic.Pointer[time.Time]
@@ -106,7 +108,10 @@
 func (c *Core) Step(now time.Time, event Event) Output {
 	c.now.Store(&now)
 	c.seed(now)
+	resync := c.resync(now)
 	out := c.take(now, event)
+	out.Sends = append(resync, out.Sends...)
+	out.add(sent(c.resync(now)))
 	out.add(c.refresh(now))
 	out.Changed = c.publish(now)
 	return out
@@ -130,6 +135,18 @@
 	c.members.Hint(now, c.options.Seeds)
 }
 
+// resync makes the flow tables follow an interruption. While this host was
+// paused or held dead, others may have moved the slots that it owned.
+func (c *Core) resync(now time.Time) []fleet.Send {
+	stale, notices := c.members.Stale(now), uint64(c.members.Counts().Interruptions)
+	noticed := stale && !c.stale || notices != c.notices
+	c.stale, c.notices = stale, notices
+	if !noticed || c.stopping {
+		return nil
+	}
+	return c.flows.Resync(now)
+}
+
 func (c *Core) take(now time.Time, event Event) Output {
 	switch e := event.(type) {
 	case *Tick:
--- a/faultmatrix/flowcaller.go
+++ b/faultmatrix/flowcaller.go
@@ -20,6 +20,7 @@
 // flowPacket is the part of a packet that the fakes look at.
 type flowPacket struct {
 	syn      bool
+	bare     bool // an acknowledgement without data, which is not answered
 	sequence uint32
 }
 
@@ -101,7 +102,7 @@
 		return
 	}
 	in := flow.Input{Key: c.key, SYN: p.syn, ACK: !p.syn, Sequence: p.sequence, Acknowledgement: 1}
-	if !p.syn {
+	if !p.syn && !p.bare {
 		in.PayloadLen = 100
 	}
 	c.world.after(time.Millisecond, func() {
@@ -121,6 +122,8 @@
 	if !c.established {
 		c.established, c.server, c.opened = true, from, c.world.now
 		c.sequence++
+		// The acknowledgement that ends the handshake is not repeated.
+		c.sendPacket(flowPacket{sequence: c.sequence, bare: true})
 	} else {
 		c.sequence += 100
 	}
--- a/faultmatrix/server.go
+++ b/faultmatrix/server.go
@@ -112,5 +112,7 @@
 		s.world.after(time.Millisecond, func() { c.reset(s.id, "unknown flow") })
 		return
 	}
-	s.world.after(time.Millisecond, func() { c.acked(s.id, p) })
+	if !p.bare {
+		s.world.after(time.Millisecond, func() { c.acked(s.id, p) })
+	}
 }
