faultmatrix: turn each of the ten promises red by a broken decision

A check that cannot fail is a defect. Change: a mutant for each promise; the test demands that the cell is red under that promise with it and not without it. For this a planned stop without waiting now has no grace at all, requests take 200 ms and come every 40 ms, and an answer can be called a refusal.

--- a/faultmatrix/host.go
+++ b/faultmatrix/host.go
@@ -220,12 +220,15 @@
 func (h *host) stop(then func()) {
 	h.draining = true
 	w := h.world
-	if h.running > 0 && (w.Mutant.Drain == nil || w.Mutant.Drain()) && h.up {
+	wait := linger
+	if w.Mutant.Drain != nil && !w.Mutant.Drain() {
+		wait = 0
+	} else if h.running > 0 && h.up {
 		w.after(drainPoll, func() { h.stop(then) })
 		return
 	}
 	h.run(func() { h.step(&control.StopRequested{}) })
-	w.after(linger, func() {
+	w.after(wait, func() {
 		w.checks.stopped(h)
 		h.kill()
 		then()
--- a/faultmatrix/requestcaller.go
+++ b/faultmatrix/requestcaller.go
@@ -13,10 +13,10 @@
 )
 
 const (
-	requestInterval = 50 * time.Millisecond
+	requestInterval = 40 * time.Millisecond
 	requestTimeout  = 2 * time.Second // deadline of one attempt
 	requestPatience = 8 * time.Second // after which the caller gives a request up
-	serviceTime     = 40 * time.Millisecond
+	serviceTime     = 200 * time.Millisecond
 	retryPause      = 400 * time.Millisecond
 )
 
@@ -194,6 +194,11 @@
 
 // served takes the server's answer.
 func (a *attempt) served(s *server) {
+	if served := a.call.world.Mutant.Served; served != nil && !served() {
+		a.report(request.Result{Outcome: request.Refused, Reason: "answer_lost"})
+		a.refuse()
+		return
+	}
 	body := "ran " + a.call.key.String()
 	a.host.step(&control.EvidenceSeen{Evidence: backend.Evidence{
 		Server: s.id, Kind: backend.EvidenceServed, Latency: serviceTime,
--- a/faultmatrix/world.go
+++ b/faultmatrix/world.go
@@ -22,8 +22,12 @@
 	Admit func(server fleet.ServerID, admitted bool) bool
 	// Adopt overrides the configuration that a host reads.
 	Adopt func(w *World, r config.Revised) config.Revised
-	// Drain overrides whether a planned stop waits for running requests.
+	// Drain overrides whether a planned stop waits for running requests and lets
+	// the host go on forwarding for a while.
 	Drain func() bool
+	// Served overrides whether the answer to a request counts; else the host says
+	// that the request was refused.
+	Served func() bool
 	// Answer overrides the answer that a caller gets.
 	Answer func(body string) string
 }
