--- a/control/core.go
+++ b/control/core.go
@@ -55,8 +55,8 @@
 	seeded    bool
 	stopping  time.Time // when a planned stop began; zero: not
 	left      bool
-	observed  uint64    // version of the members whose revisions were observed
-	stale     bool      // the host was paused, and nobody has confirmed it since
+	stale     bool      // as noticed by resync
+	notices   uint64    // interruptions noticed by resync
 	installed installed // the inputs that the parts have
 	published installed // the inputs of the last snapshot
 	now       atomic.Pointer[time.Time]
@@ -112,7 +112,10 @@
 func (c *Core) Step(now time.Time, event Event) Output {
 	c.now.Store(&now)
 	c.seed(now)
+	resync := c.resync(now)
 	out := c.take(now, event)
+	out.Sends = append(resync, out.Sends...)
+	out.add(sent(c.resync(now)))
 	out.add(c.refresh(now))
 	out.Changed = c.publish(now)
 	return out
@@ -136,6 +139,18 @@
 	c.members.Hint(now, c.options.Seeds)
 }
 
+// resync makes the flow tables follow an interruption. While this host was
+// paused or held dead, others may have moved the slots that it owned.
+func (c *Core) resync(now time.Time) []fleet.Send {
+	stale, notices := c.members.Stale(now), uint64(c.members.Counts().Interruptions)
+	noticed := stale && !c.stale || notices != c.notices
+	c.stale, c.notices = stale, notices
+	if !noticed || c.isStopping() {
+		return nil
+	}
+	return c.flows.Resync(now)
+}
+
 func (c *Core) take(now time.Time, event Event) Output {
 	switch e := event.(type) {
 	case *Tick:
@@ -176,7 +191,6 @@
 
 func (c *Core) tick(now time.Time) Output {
 	out := sent(c.members.Tick(now))
-	out.add(c.notePause(now))
 	out.add(effects(c.keys.Tick(now)))
 	out.add(sent(c.flows.Tick(now)))
 	if c.isStopping() {
@@ -190,17 +204,6 @@
 	return out
 }
 
-// notePause makes the router learn again which slots are split once the host
-// notices that it was paused: peers may have taken its slots meanwhile.
-func (c *Core) notePause(now time.Time) Output {
-	was := c.stale
-	c.stale = c.members.Stale(now)
-	if !c.stale || was {
-		return Output{}
-	}
-	return sent(c.flows.Resync(now))
-}
-
 // observePeers tells the rollout which revisions the peers' heartbeats name.
 func (c *Core) observePeers(now time.Time) {
 	for _, h := range c.members.Live() {
