Stop a host whose name another process has taken, and rebuild tables less

Cause: an old process under a taken name stayed ready and acted alone, since its peers refuse it silently while the platform goes on confirming it. Flow tables were rebuilt whenever a confirmation was renewed, and the digest of all server records was summed from scratch at every step. Change: the platform's host list and a refused registration end the old process; the inputs of the keys are compared apart from those of the tables; a record keeps its hash.

--- a/backend/gossip.go
+++ b/backend/gossip.go
@@ -32,12 +32,16 @@
 	var sum uint64
 	for _, s := range p.servers {
 		if s.record.Sequence > 0 {
-			sum += digest(s.record)
+			sum += s.digest
 		}
 	}
 	return sum
 }
 
+func (s *server) setRecord(r fleet.ServerRecord) {
+	s.record, s.digest = r, digest(r)
+}
+
 func digest(r fleet.ServerRecord) uint64 {
 	var b [17]byte
 	b[0] = byte(r.Phase)
@@ -96,7 +100,7 @@
 }
 
 func (s *server) adopt(r fleet.ServerRecord) {
-	s.record = r
+	s.setRecord(r)
 	if s.keeping != nil {
 		s.keeping.cool()
 	}
--- a/backend/keeper.go
+++ b/backend/keeper.go
@@ -163,7 +163,7 @@
 	if phase == fleet.ServerSuspected {
 		s.detector.successes = 0
 	}
-	s.record = r
+	s.setRecord(r)
 	p.changed = append(p.changed, r)
 }
 
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -55,6 +55,7 @@
 	config   config.Server
 	drained  bool
 	record   fleet.ServerRecord
+	digest   uint64 // of the record
 	keeper   fleet.HostID
 	keeping  *keeping // set while this host is the keeper
 	ledger   ledger   // outlives keeping, as the credit does
--- a/control/core.go
+++ b/control/core.go
@@ -59,6 +59,7 @@
 	notices   uint64    // interruptions noticed by resync
 	installed installed // the inputs that the parts have
 	published installed // the inputs of the last snapshot
+	keyInputs keyInputs
 	now       atomic.Pointer[time.Time]
 	snapshot  atomic.Pointer[Snapshot]
 }
@@ -71,10 +72,13 @@
 	stage    uint64
 	records  uint64
 	settled  bool
-	// confirmed tells whether this data centre is known to be in.
-	confirmed bool
+}
+
+// keyInputs tells what the keys were last given.
+type keyInputs struct {
+	confirmed bool      // this data centre is known to be in
 	until     time.Time // when that knowledge ends, to the second
-	listed    uint64
+	listed    uint64    // version of the platform's list of hosts
 }
 
 // New returns the control state of a host that has just started.
--- a/control/core_test.go
+++ b/control/core_test.go
@@ -56,3 +56,17 @@
 	is.True(core.Router().Decide(now, packetTo("127.200.0.1:7000")).Reason != flow.ReasonNotReady)
 	is.Equal(core.Router().Decide(now, packetTo("127.200.0.1:7001")).Reason, flow.ReasonUnknownAddress)
 }
+
+// A process that goes on under a name which another process has taken since
+// must learn it from the platform, as its peers refuse it.
+func TestReplacedHostIsSuperseded(t *testing.T) {
+	is := is.New(t)
+	self := fleet.Host{ID: "a1", DataCentre: "tp1", Incarnation: 1}
+	core := control.New(control.Options{Self: self})
+	core.Step(start, &control.HostsRead{Hosts: []fleet.Host{self}})
+	is.True(!core.Snapshot().Superseded)
+	self.Incarnation = 2
+	core.Step(start.Add(time.Second), &control.HostsRead{Hosts: []fleet.Host{self}})
+	core.Step(start.Add(2*time.Second), &control.Tick{})
+	is.True(core.Snapshot().Superseded)
+}
--- a/control/hostlist.go
+++ b/control/hostlist.go
@@ -25,6 +25,11 @@
 	}
 }
 
+// supersedes reports whether the list names a later life of a host.
+func (l *hostList) supersedes(self fleet.Host) bool {
+	return l.incarnations[self.ID] > self.Incarnation
+}
+
 // gone returns the members that do not run any more: they are dead to their
 // peers, and the platform, where their lease would have to be renewed, lists
 // none of them or a later life. An empty list tells nothing.
--- a/control/refresh.go
+++ b/control/refresh.go
@@ -45,26 +45,17 @@
 	if fresh || members != c.installed.members || stage != c.installed.stage {
 		out.add(sent(c.servers.Install(now, c.serverView(now, revised.Set))))
 	}
-	confirmed := c.centres.Confirmed(now)
-	until := c.centres.ConfirmedUntil().Truncate(confirmStep)
-	listed := c.listed.version
-	if fresh || members != c.installed.members || confirmed != c.installed.confirmed ||
-		!until.Equal(c.installed.until) || listed != c.installed.listed {
-		out.add(effects(c.keys.Install(now, c.keyView(revised.Set, confirmed))))
-	}
+	out.add(c.refreshKeys(now, revised.Set, fresh || members != c.installed.members))
 	records := c.servers.Digest()
 	state := membership.State{Revision: revised.Revision, Digest: records ^ stage*stageFactor}
 	c.members.SetLocal(now, state)
 	next := installed{
-		members:   members,
-		history:   revised.History,
-		revision:  revised.Revision,
-		stage:     stage,
-		records:   records,
-		settled:   c.members.Settled(now, state),
-		confirmed: confirmed,
-		until:     until,
-		listed:    listed,
+		members:  members,
+		history:  revised.History,
+		revision: revised.Revision,
+		stage:    stage,
+		records:  records,
+		settled:  c.members.Settled(now, state),
 	}
 	if next == c.installed {
 		return out
@@ -74,6 +65,21 @@
 	return out
 }
 
+// refreshKeys gives the keys what has changed. It changes more often than what
+// the flow tables depend on, and costs little.
+func (c *Core) refreshKeys(now time.Time, set config.Set, changed bool) Output {
+	next := keyInputs{
+		confirmed: c.centres.Confirmed(now),
+		until:     c.centres.ConfirmedUntil().Truncate(confirmStep),
+		listed:    c.listed.version,
+	}
+	if !changed && next == c.keyInputs {
+		return Output{}
+	}
+	c.keyInputs = next
+	return effects(c.keys.Install(now, c.keyView(set, next.confirmed)))
+}
+
 func (c *Core) keyView(set config.Set, confirmed bool) request.View {
 	return request.View{
 		Self:       c.options.Self.ID,
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -46,7 +46,7 @@
 		Reader:     c.rollout.IsReader(),
 		NeedFetch:  c.rollout.NeedFetch(),
 		Stale:      c.members.Stale(now) && !c.isStopping(),
-		Superseded: c.members.Superseded(),
+		Superseded: c.members.Superseded() || c.listed.supersedes(c.options.Self),
 	}
 	next.Ready = c.rollout.Ready() && c.flows.Ready() && !next.Stale && !c.isStopping()
 	if old != nil && c.installed == c.published && sameFlags(old, &next) {
--- a/host/loop.go
+++ b/host/loop.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -22,15 +23,16 @@
 
 // loop is the goroutine that owns the control state.
 type loop struct {
-	host       *Host
-	parts      *parts
-	events     chan control.Event
-	core       atomic.Pointer[control.Core]
-	stepped    atomic.Int64   // unix nanoseconds of the last step
-	window     *packet.Window // of handed packets seen, shared by the handoff workers
-	superseded chan struct{}
-	stopped    chan struct{}
-	ended      chan struct{} // closed when the host has ended
+	host           *Host
+	parts          *parts
+	events         chan control.Event
+	core           atomic.Pointer[control.Core]
+	stepped        atomic.Int64   // unix nanoseconds of the last step
+	window         *packet.Window // of handed packets seen, shared by the handoff workers
+	superseded     chan struct{}
+	supersededOnce sync.Once
+	stopped        chan struct{}
+	ended          chan struct{} // closed when the host has ended
 }
 
 func newLoop(h *Host, p *parts) *loop {
@@ -148,14 +150,15 @@
 	}
 	l.parts.counters.revision.Set(float64(state.Revision))
 	if s.Superseded {
-		select {
-		case <-l.superseded:
-		default:
-			close(l.superseded)
-		}
+		l.supersede()
 	}
 }
 
+// supersede ends the host: a later incarnation of it has taken its place.
+func (l *loop) supersede() {
+	l.supersededOnce.Do(func() { close(l.superseded) })
+}
+
 func (l *loop) logChanges(old, state *status.Host) {
 	if old == nil || old.Ready != state.Ready || old.Reason != state.Reason {
 		l.host.Logger.Info("readiness changed", "ready", state.Ready, "reason", state.Reason)
--- a/host/registrar.go
+++ b/host/registrar.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/rattanthread/rattanthread/platform"
 )
 
@@ -22,6 +24,10 @@
 func (r *registrar) serve(ctx context.Context) error {
 	for ctx.Err() == nil {
 		err := r.parts.client.RegisterObject(ctx, hostObject(r.host, r.parts, platform.HostLive), hostLease)
+		if errors.Is(err, platform.ErrConflict) {
+			r.parts.loop.supersede()
+			return nil
+		}
 		if err != nil {
 			r.parts.counters.platform.WithLabelValues("register", "failed").Inc()
 			wait(ctx, registerRetry)
