control: Let a fresh host learn the whole fleet before it decides

Cause: a host that returned 0.5 s after its death was ready when it knew one of five peers; it took half of all slots, asked only that peer, and ended flows that another owner had placed. Ruled out: lost copies; the owner that had the record was alive. Change: tables, servers and keys wait until no further live host has turned up for 0.6 s, 3 s at most. The stated trace replay/testdata/alone.jsonl is moved by one second, with the same outcomes, since a lone host waits 0.6 s longer.

--- a/control/core.go
+++ b/control/core.go
@@ -51,6 +51,7 @@
 	flows   flow.Router
 	keys    request.Keys
 	listed  hostList
+	join    join
 
 	seeded    bool
 	stopping  time.Time // when a planned stop began; zero: not
--- a/control/core_test.go
+++ b/control/core_test.go
@@ -70,3 +70,17 @@
 	core.Step(start.Add(2*time.Second), &control.Tick{})
 	is.True(core.Snapshot().Superseded)
 }
+
+// A fresh host that knows one of several peers would take slots that the others
+// own, and decide about their flows.
+func TestFreshHostWaitsForTheWholeFleet(t *testing.T) {
+	is := is.New(t)
+	var j control.Join
+	now := start
+	is.True(!j.Observe(now, 2))
+	now = now.Add(500 * time.Millisecond)
+	is.True(!j.Observe(now, 6)) // more peers turned up
+	is.True(!j.Observe(now.Add(500*time.Millisecond), 6))
+	is.True(j.Observe(now.Add(700*time.Millisecond), 6))
+	is.True(j.Observe(now.Add(800*time.Millisecond), 7)) // it stays joined
+}
--- a/control/refresh.go
+++ b/control/refresh.go
@@ -30,9 +30,9 @@
 		c.rollout.Install(now, c.members.Live())
 	}
 	revised, ok := c.rollout.InForce()
-	if !ok || !c.rollout.Ready() {
-		// A fresh host that knows no peer yet would take itself for the owner
-		// of everything.
+	if !ok || !c.rollout.Ready() || !c.join.observe(now, len(c.members.Live())) {
+		// A fresh host that knows few peers yet would take itself for the owner
+		// of what is theirs.
 		c.installed.members = members
 		return out
 	}
--- a/replay/replay_test.go
+++ b/replay/replay_test.go
@@ -34,10 +34,10 @@
 	tests := []struct {
 		name, old, changed, want string
 	}{
-		{"decision", `"server":"hints-2"`, `"server":"hints-9"`, "event packet at 13.6s: decision: want"},
+		{"decision", `"server":"hints-2"`, `"server":"hints-9"`, "event packet at 14.6s: decision: want"},
 		{"ready", `"ready":false`, `"ready":true`, "event platform_answered at 0s: ready: want true, have false"},
-		{"revision", `"revision":2}`, `"revision":9}`, "event revision at 7s: revision: want 9, have 2"},
-		{"verdict", `"decision":"replay"`, `"decision":"run"`, "event claim at 25.2s: verdicts: want"},
+		{"revision", `"revision":2}`, `"revision":9}`, "event revision at 8s: revision: want 9, have 2"},
+		{"verdict", `"decision":"replay"`, `"decision":"run"`, "event claim at 26.2s: verdicts: want"},
 		{"sends", `"sends":[]`, `"sends":[{"to":"a2","message":"x"}]`, "event platform_answered at 0s: sends: want"},
 	}
 	for _, tt := range tests {
