membership: Count only the very same view as acknowledged

Cause: a host at a later revision counted as having acknowledged an earlier one. It may have skipped it; an owner then placed a flow on a target of which that host never knew, and the host sent the flow by its table to another server. Ruled out: the early end of splits (the owner still held the record). Change: acknowledgements compare for equality. TestSettled demanded that a newer revision counts, which is wrong for the reason above; it now demands that it does not count, and that the same state does.

--- a/membership/acknowledge.go
+++ b/membership/acknowledge.go
@@ -15,8 +15,9 @@
 	since time.Time
 }
 
-// covers reports whether a host at state a has acknowledged s.
-func (a State) covers(s State) bool {
+// follows reports whether a is a later state than s, or the same. A host at a
+// later state has not acknowledged s: it may have gone there without s.
+func (a State) follows(s State) bool {
 	return a.Revision > s.Revision || a == s
 }
 
@@ -31,7 +32,7 @@
 	t.views.since = now
 	t.me.State = s
 	for _, m := range t.members {
-		m.acked = m.State.covers(s)
+		m.acked = m.State == s
 	}
 	t.nextGossip = now
 	t.version++
@@ -71,7 +72,7 @@
 // readState takes in the view version that a member has announced itself.
 func (t *Table) readState(m *member, s State) {
 	m.State = s
-	if s.covers(t.views.local) {
+	if s == t.views.local {
 		m.acked = true
 	}
 }
@@ -92,19 +93,19 @@
 }
 
 // readAcks merges what the sender knows of acknowledgements. It counts only
-// when both hold the same list of live hosts and the sender's state is not older.
+// when both hold the same list of live hosts and the same state.
 func (t *Table) readAcks(h *Header) {
 	if t.views.complete && h.State == t.views.local {
 		return
 	}
-	if h.Acks.List == t.list && h.State.covers(t.views.local) {
+	if h.Acks.List == t.list && h.State == t.views.local {
 		for i, host := range t.hosts {
 			m := t.members[host.ID]
 			if m == nil || !(h.Acks.Complete || bit(h.Acks.Bits, i)) {
 				continue
 			}
 			m.acked = true
-			if h.State.covers(m.State) {
+			if h.State.follows(m.State) {
 				m.State = h.State
 			}
 		}
--- a/membership/table_test.go
+++ b/membership/table_test.go
@@ -298,8 +298,11 @@
 		n.run(3 * time.Second)
 		check(false) // one host is missing
 		set(late, membership.State{Revision: 3, Digest: 9})
-		n.run(900 * time.Millisecond)
-		check(true) // a newer revision covers it
+		n.run(300 * time.Millisecond)
+		check(false) // it may have skipped the state
+		set(late, state)
+		n.run(600 * time.Millisecond)
+		check(true)
 
 		state = membership.State{Revision: 4, Digest: 1}
 		n.nodes[late].down = true
