request: Keep the key lifetime of each service

Cause: key_lifetime of a service was checked and published, and then ignored. Change: it bounds the age of the service's keys and how long their claims are kept. A longer lifetime opens no key whose claim may be forgotten: keys older than the former lifetime stay unknown.

--- a/control/refresh.go
+++ b/control/refresh.go
@@ -87,6 +87,7 @@
 		Hosts:      c.members.Live(),
 		Gone:       c.listed.gone(c.members.Members()),
 		Centres:    set.DataCentres,
+		Lifetimes:  keyLifetimes(set),
 		Confirmed:  confirmed,
 
 		ConfirmedUntil: c.centres.ConfirmedUntil(),
@@ -123,6 +124,16 @@
 	return ids
 }
 
+func keyLifetimes(set config.Set) map[fleet.ServiceName]time.Duration {
+	lifetimes := make(map[fleet.ServiceName]time.Duration)
+	for _, s := range set.Services {
+		if s.Kind == config.KindRequest {
+			lifetimes[s.Name] = s.Request.KeyLifetime
+		}
+	}
+	return lifetimes
+}
+
 func (c *Core) flowView(now time.Time, set config.Set, settled bool) flow.View {
 	view := flow.View{Self: c.options.Self.ID, Hosts: c.liveIDs(), Settled: settled}
 	weights := c.weights(now, set)
--- a/request/attempt.go
+++ b/request/attempt.go
@@ -59,7 +59,7 @@
 	case len(k.attempts) >= k.limits().Keys:
 		return Verdict{Decision: DecisionRefused, Reason: ReasonKeysFull, RetryAfter: time.Second}, false
 	}
-	return r.Key.check(now, k.limits())
+	return r.Key.check(now, k.limitsOf(r.Service))
 }
 
 func (k *Keys) ask(now time.Time, a *attempt) Effects {
@@ -199,7 +199,7 @@
 		}
 	case attemptReporting:
 		// Without a report the owner calls the outcome unknown when it is overdue.
-		if overdue && (!a.ran || now.Sub(a.claim.Deadline) > limits.KeyLifetime) {
+		if overdue && (!a.ran || now.Sub(a.claim.Deadline) > k.limitsOf(a.claim.Service).KeyLifetime) {
 			delete(k.attempts, a.id)
 			return Effects{}
 		}
--- a/request/claim.go
+++ b/request/claim.go
@@ -121,7 +121,8 @@
 	k.dropGaps(now)
 	limits := k.limits()
 	for id, c := range k.claims {
-		expired := now.After(c.key.Issued().Add(limits.KeyLifetime + limits.MaxSkew))
+		lifetime := k.limitsOf(c.service).KeyLifetime
+		expired := now.After(c.key.Issued().Add(lifetime + limits.MaxSkew))
 		if !expired || k.active[id] != nil && now.Before(c.deadline.Add(limits.RunGrace)) {
 			continue
 		}
--- a/request/history.go
+++ b/request/history.go
@@ -268,9 +268,10 @@
 
 // dropGaps forgets the gaps whose keys have all expired.
 func (k *Keys) dropGaps(now time.Time) {
+	lifetime := k.longestLifetime()
 	kept := k.history.gaps[:0]
 	for _, g := range k.history.gaps {
-		if now.Before(g.Before.Add(k.limits().KeyLifetime)) {
+		if now.Before(g.Before.Add(lifetime)) {
 			kept = append(kept, g)
 		}
 	}
--- a/request/keys.go
+++ b/request/keys.go
@@ -17,6 +17,8 @@
 	// counting towards the majority at once.
 	Gone    []Member
 	Centres []config.DataCentre
+	// Lifetimes are the key lifetimes of services. Others have that of Limits.
+	Lifetimes map[fleet.ServiceName]time.Duration
 	// Confirmed tells that this host has lately learnt that its data centre is
 	// in. Without it the host owns no key.
 	Confirmed bool
@@ -56,6 +58,7 @@
 		k.start(now)
 	}
 	k.checkLease(now)
+	k.noteLifetimes(now, v)
 	k.view = v
 	k.view.Hosts = slices.Clone(v.Hosts)
 	ring := newRing(v.Hosts, v.DataCentre)
@@ -73,6 +76,16 @@
 	return e
 }
 
+// noteLifetimes notes that claims may have been forgotten whose keys a longer
+// lifetime makes valid again.
+func (k *Keys) noteLifetimes(now time.Time, v View) {
+	for service, lifetime := range v.Lifetimes {
+		if old := k.view.Lifetimes[service]; old > 0 && lifetime > old {
+			k.history.gaps = append(k.history.gaps, Gap{Before: now.Add(-old)})
+		}
+	}
+}
+
 func (k *Keys) start(now time.Time) {
 	k.started = now
 	k.claims = make(map[string]*claim)
@@ -85,6 +98,24 @@
 	return k.Limits.withDefaults()
 }
 
+// limitsOf returns the limits with the key lifetime of a service.
+func (k *Keys) limitsOf(service fleet.ServiceName) Limits {
+	limits := k.limits()
+	if lifetime := k.view.Lifetimes[service]; lifetime > 0 {
+		limits.KeyLifetime = lifetime
+	}
+	return limits
+}
+
+// longestLifetime returns the longest key lifetime of any service.
+func (k *Keys) longestLifetime() time.Duration {
+	longest := k.limits().KeyLifetime
+	for _, lifetime := range k.view.Lifetimes {
+		longest = max(longest, lifetime)
+	}
+	return longest
+}
+
 // Receive takes in a message of a peer.
 func (k *Keys) Receive(now time.Time, from fleet.HostID, m fleet.Message) Effects {
 	if k.started.IsZero() {
--- a/request/limits.go
+++ b/request/limits.go
@@ -10,7 +10,8 @@
 	KeptBody int
 	// KeptTotal bounds the bytes of all kept bodies.
 	KeptTotal int
-	// KeyLifetime is how long after its issue a key may be used.
+	// KeyLifetime is how long after its issue a key may be used, for services
+	// that View.Lifetimes does not name.
 	KeyLifetime time.Duration
 	// MaxSkew is how far ahead a caller's clock may be.
 	MaxSkew time.Duration
--- a/request/owner.go
+++ b/request/owner.go
@@ -20,7 +20,7 @@
 	if err != nil || !k.mayDecide(now, key) {
 		return Effects{}
 	}
-	if v, ok := key.check(now, k.limits()); !ok && k.claims[m.Key] == nil {
+	if v, ok := key.check(now, k.limitsOf(m.Service)); !ok && k.claims[m.Key] == nil {
 		return k.answer(now, m.Attempt, v)
 	}
 	c := k.claims[m.Key]
