--- a/host/registrar.go
+++ b/host/registrar.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/thejerf/suture/v4"
 
 	"github.com/rattanthread/rattanthread/platform"
 )
@@ -26,7 +27,7 @@
 		err := r.parts.client.RegisterObject(ctx, hostObject(r.host, r.parts, platform.HostLive), hostLease)
 		if errors.Is(err, platform.ErrConflict) {
 			r.parts.loop.supersede()
-			return nil
+			return suture.ErrDoNotRestart
 		}
 		if err != nil {
 			r.parts.counters.platform.WithLabelValues("register", "failed").Inc()
