--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -5,7 +5,6 @@
 
 	"github.com/rattanthread/rattanthread/backend"
 	"github.com/rattanthread/rattanthread/config"
-	"github.com/rattanthread/rattanthread/datacentre"
 	"github.com/rattanthread/rattanthread/fleet"
 	"github.com/rattanthread/rattanthread/membership"
 )
@@ -22,8 +21,6 @@
 	Live       []fleet.Host
 	Members    []membership.Member
 	Keeps      []fleet.ServerID
-	Work       datacentre.Work
-	Confirmed  bool
 	Reader     bool
 	NeedFetch  bool
 	Ready      bool
@@ -41,8 +38,6 @@
 func (c *Core) publish(now time.Time) bool {
 	old := c.snapshot.Load()
 	next := Snapshot{
-		Work:       c.centres.Allowed(now),
-		Confirmed:  c.centres.Confirmed(now),
 		Reader:     c.rollout.IsReader(),
 		NeedFetch:  c.rollout.NeedFetch(),
 		Stale:      c.members.Stale(now) && !c.isStopping(),
@@ -59,7 +54,7 @@
 }
 
 func sameFlags(a, b *Snapshot) bool {
-	return a.Work == b.Work && a.Confirmed == b.Confirmed && a.Reader == b.Reader &&
+	return a.Reader == b.Reader &&
 		a.NeedFetch == b.NeedFetch && a.Ready == b.Ready && a.Stale == b.Stale &&
 		a.Superseded == b.Superseded
 }
