control: Write and read events and decisions as CBOR

Cause: a foreign program could not drive a Core, as messages were left out of their event and some fields had no names of the project's style. Change: EncodeEvent, DecodeEvent, EncodeOutput; snake-case names for evidence, claims, keys and verdicts.

--- a/backend/evidence.go
+++ b/backend/evidence.go
@@ -20,16 +20,16 @@
 
 // Evidence is one observation of a backend server.
 type Evidence struct {
-	Server  fleet.ServerID
-	Kind    EvidenceKind
-	Latency time.Duration // of EvidenceServed; zero when unknown
+	Server  fleet.ServerID `cbor:"server"`
+	Kind    EvidenceKind   `cbor:"kind"`
+	Latency time.Duration  `cbor:"latency"` // of EvidenceServed; zero when unknown
 
 	// The fields of EvidenceReport.
-	Healthy bool
+	Healthy bool `cbor:"healthy"`
 	// Instance identifies the life of the server process, or is empty.
-	Instance string
+	Instance string `cbor:"instance"`
 	// At is when the report was made; reports older than the last are ignored.
-	At time.Time
+	At time.Time `cbor:"at"`
 }
 
 // The thresholds of the failure detector.
--- /dev/null
+++ b/control/codec.go
@@ -0,0 +1,140 @@
+package control
+
+import (
+	"reflect"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-faster/errors"
+
+	"github.com/rattanthread/rattanthread/fleet"
+	"github.com/rattanthread/rattanthread/request"
+)
+
+// encodedEvent is the CBOR form of an event. The body is that of the event, or of
+// the message for a MessageReceived.
+type encodedEvent struct {
+	At      time.Time         `cbor:"at"`
+	Kind    EventKind         `cbor:"event"`
+	From    fleet.HostID      `cbor:"from,omitempty"`
+	Message fleet.MessageKind `cbor:"message,omitempty"`
+	Body    cbor.RawMessage   `cbor:"body"`
+}
+
+// encodedOutput is the CBOR form of an Output.
+type encodedOutput struct {
+	Sends    []encodedSend     `cbor:"sends"`
+	Verdicts []request.Verdict `cbor:"verdicts"`
+	Attempt  request.AttemptID `cbor:"attempt"`
+}
+
+type encodedSend struct {
+	To      fleet.HostID      `cbor:"to"`
+	Message fleet.MessageKind `cbor:"message"`
+	Body    cbor.RawMessage   `cbor:"body"`
+}
+
+// eventTypes maps each kind to the type of its events.
+var eventTypes = typesOf(
+	&Tick{}, &RevisionRead{}, &PlatformAnswered{}, &HostsRead{}, &EvidenceSeen{},
+	&ClaimAsked{}, &ClaimEnded{}, &ClaimCancelled{}, &StopRequested{},
+)
+
+func typesOf(events ...Event) map[EventKind]reflect.Type {
+	types := make(map[EventKind]reflect.Type)
+	for _, e := range events {
+		types[e.EventKind()] = reflect.TypeOf(e).Elem()
+	}
+	return types
+}
+
+// messageTypes maps each kind to the type of its messages.
+var messageTypes = messageTypesOf(Messages())
+
+func messageTypesOf(messages []fleet.Message) map[fleet.MessageKind]reflect.Type {
+	types := make(map[fleet.MessageKind]reflect.Type)
+	for _, m := range messages {
+		types[m.Kind()] = reflect.TypeOf(m).Elem()
+	}
+	return types
+}
+
+var encMode = mustEncMode()
+
+func mustEncMode() cbor.EncMode {
+	options := cbor.CoreDetEncOptions()
+	options.Time = cbor.TimeRFC3339NanoUTC
+	mode, err := options.EncMode()
+	if err != nil {
+		panic(err) // the options are fixed
+	}
+	return mode
+}
+
+// EncodeEvent returns the CBOR form of an event that happened at a time, so that
+// a foreign program can drive a Core.
+func EncodeEvent(at time.Time, event Event) ([]byte, error) {
+	e := encodedEvent{At: at, Kind: event.EventKind()}
+	var body any = event
+	if received, ok := event.(*MessageReceived); ok {
+		e.From, e.Message, body = received.From, received.Message.Kind(), received.Message
+	}
+	var err error
+	if e.Body, err = encMode.Marshal(body); err != nil {
+		return nil, errors.Wrapf(err, "encode the body of event %s", e.Kind)
+	}
+	data, err := encMode.Marshal(e)
+	if err != nil {
+		return nil, errors.Wrapf(err, "encode event %s", e.Kind)
+	}
+	return data, nil
+}
+
+// DecodeEvent reads what EncodeEvent wrote.
+func DecodeEvent(data []byte) (time.Time, Event, error) {
+	var e encodedEvent
+	if err := cbor.Unmarshal(data, &e); err != nil {
+		return time.Time{}, nil, errors.Wrap(err, "decode event")
+	}
+	if e.Kind == KindMessage {
+		return decodeMessage(e)
+	}
+	t, ok := eventTypes[e.Kind]
+	if !ok {
+		return time.Time{}, nil, errors.Errorf("decode event: unknown kind %q", e.Kind)
+	}
+	event := reflect.New(t)
+	if err := cbor.Unmarshal(e.Body, event.Interface()); err != nil {
+		return time.Time{}, nil, errors.Wrapf(err, "decode the body of event %s", e.Kind)
+	}
+	return e.At, event.Interface().(Event), nil
+}
+
+func decodeMessage(e encodedEvent) (time.Time, Event, error) {
+	t, ok := messageTypes[e.Message]
+	if !ok {
+		return time.Time{}, nil, errors.Errorf("decode message of %s: unknown kind %q", e.From, e.Message)
+	}
+	m := reflect.New(t)
+	if err := cbor.Unmarshal(e.Body, m.Interface()); err != nil {
+		return time.Time{}, nil, errors.Wrapf(err, "decode message %s of %s", e.Message, e.From)
+	}
+	return e.At, &MessageReceived{From: e.From, Message: m.Interface().(fleet.Message)}, nil
+}
+
+// EncodeOutput returns the CBOR form of what a Step decided.
+func EncodeOutput(out Output) ([]byte, error) {
+	e := encodedOutput{Verdicts: out.Verdicts, Attempt: out.Attempt}
+	for _, send := range out.Sends {
+		body, err := encMode.Marshal(send.Message)
+		if err != nil {
+			return nil, errors.Wrapf(err, "encode message %s to %s", send.Message.Kind(), send.To)
+		}
+		e.Sends = append(e.Sends, encodedSend{To: send.To, Message: send.Message.Kind(), Body: body})
+	}
+	data, err := encMode.Marshal(e)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode output")
+	}
+	return data, nil
+}
--- a/control/event.go
+++ b/control/event.go
@@ -41,7 +41,7 @@
 // MessageReceived is a message from a peer whose key was verified.
 type MessageReceived struct {
 	From    fleet.HostID  `cbor:"from"`
-	Message fleet.Message `cbor:"-"`
+	Message fleet.Message `cbor:"-"` // EncodeEvent writes it with its kind
 }
 
 // EventKind returns KindMessage.
--- a/request/key.go
+++ b/request/key.go
@@ -13,8 +13,8 @@
 // Key is an idempotency key: a UUID of version 7, which carries its time of
 // issue, and optionally the data centre that it belongs to.
 type Key struct {
-	DataCentre fleet.DataCentreID
-	ID         uuid.UUID
+	DataCentre fleet.DataCentreID `cbor:"data_centre"`
+	ID         uuid.UUID          `cbor:"i_d"`
 }
 
 // uuidLength is the length of the canonical form of a UUID.
--- a/request/outcome.go
+++ b/request/outcome.go
@@ -75,10 +75,10 @@
 
 // ClaimRequest asks whether a request may run.
 type ClaimRequest struct {
-	Key      Key
-	Service  fleet.ServiceName
-	Body     BodyHash
-	Deadline time.Time
+	Key      Key               `cbor:"key"`
+	Service  fleet.ServiceName `cbor:"service"`
+	Body     BodyHash          `cbor:"body"`
+	Deadline time.Time         `cbor:"deadline"`
 }
 
 // Answer is a server's answer as kept for replay.
@@ -99,16 +99,16 @@
 
 // Verdict answers a claim.
 type Verdict struct {
-	Attempt  AttemptID
-	Decision Decision
-	Reason   Reason
-	Earlier  Earlier
-	Answer   Answer
+	Attempt  AttemptID `cbor:"attempt"`
+	Decision Decision  `cbor:"decision"`
+	Reason   Reason    `cbor:"reason"`
+	Earlier  Earlier   `cbor:"earlier"`
+	Answer   Answer    `cbor:"answer"`
 	// RetryAfter is when another attempt makes sense, if not zero.
-	RetryAfter time.Duration
+	RetryAfter time.Duration `cbor:"retry_after"`
 	// ValidUntil bounds the use of DecisionRun. After it the attempt must be
 	// reported as refused instead.
-	ValidUntil time.Time
+	ValidUntil time.Time `cbor:"valid_until"`
 }
 
 // Effects are what an event led to.
