--- a/control/codec_test.go
+++ b/control/codec_test.go
@@ -1,6 +1,7 @@
 package control_test
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -57,7 +58,7 @@
 	is := is.New(t)
 	core := control.New(control.Options{
 		Self:  fleet.Host{ID: "a1", DataCentre: "tp1", Incarnation: 1},
-		Seeds: []fleet.Host{{ID: "a2", DataCentre: "tp1"}},
+		Seeds: []fleet.Host{{ID: "a2", DataCentre: "tp1", PeerAddress: netip.MustParseAddrPort("127.0.0.2:1")}},
 	})
 	var out control.Output
 	for i := 0; len(out.Sends) == 0 && i < 100; i++ {
