Rename the client of the object API to registry

The package platform is to hold only the translation to the users' platform, so the client of the product's own object API, and its stand-in, get names of their own. No behaviour changes.

--- a/command/command.go
+++ b/command/command.go
@@ -19,7 +19,7 @@
 	"github.com/google/subcommands"
 
 	"github.com/rattanthread/rattanthread/config"
-	"github.com/rattanthread/rattanthread/platform"
+	"github.com/rattanthread/rattanthread/registry"
 )
 
 // DefaultPlatformURL is where the platform command listens by default.
@@ -58,7 +58,7 @@
 type Environment struct {
 	Out, Err io.Writer
 	// Connect returns the client of a platform; nil means a plain client.
-	Connect func(url string) *platform.Client
+	Connect func(url string) *registry.Client
 }
 
 func (e *Environment) printf(format string, args ...any) {
@@ -81,17 +81,17 @@
 	for line := range strings.Lines(err.Error()) {
 		fmt.Fprintf(w, "rattanthread: %s\n", strings.TrimSuffix(line, "\n"))
 	}
-	if errors.Is(err, errInput) || errors.Is(err, platform.ErrRefused) || isProblems(err) {
+	if errors.Is(err, errInput) || errors.Is(err, registry.ErrRefused) || isProblems(err) {
 		return subcommands.ExitUsageError
 	}
 	return subcommands.ExitFailure
 }
 
-func (e *Environment) connect(url string) *platform.Client {
+func (e *Environment) connect(url string) *registry.Client {
 	if e.Connect != nil {
 		return e.Connect(url)
 	}
-	return &platform.Client{URL: url, Timeout: callTimeout}
+	return &registry.Client{URL: url, Timeout: callTimeout}
 }
 
 // errInput marks what the caller of the command has to correct.
--- a/command/command_test.go
+++ b/command/command_test.go
@@ -20,8 +20,8 @@
 
 	"github.com/rattanthread/rattanthread/command"
 	"github.com/rattanthread/rattanthread/fleet"
-	"github.com/rattanthread/rattanthread/platform"
-	"github.com/rattanthread/rattanthread/platformstandin"
+	"github.com/rattanthread/rattanthread/registry"
+	"github.com/rattanthread/rattanthread/registrystandin"
 	"github.com/rattanthread/rattanthread/status"
 )
 
@@ -29,7 +29,7 @@
 
 // bench runs commands against a stand-in without sockets.
 type bench struct {
-	server platformstandin.Server
+	server registrystandin.Server
 	// beforeHead is called once, before the next write of the head.
 	beforeHead func()
 }
@@ -44,15 +44,15 @@
 	return b.server.HTTPClient().Transport.RoundTrip(r)
 }
 
-func (b *bench) client() *platform.Client {
-	return &platform.Client{URL: "http://platform.test", HTTP: &http.Client{Transport: b}}
+func (b *bench) client() *registry.Client {
+	return &registry.Client{URL: "http://platform.test", HTTP: &http.Client{Transport: b}}
 }
 
 // run executes a command line and returns its output and exit status.
 func (b *bench) run(t *testing.T, args ...string) (string, subcommands.ExitStatus) {
 	t.Helper()
 	var out bytes.Buffer
-	env := command.Environment{Out: &out, Err: &out, Connect: func(string) *platform.Client { return b.client() }}
+	env := command.Environment{Out: &out, Err: &out, Connect: func(string) *registry.Client { return b.client() }}
 	commands := map[string]subcommands.Command{
 		"check":    &command.Check{Environment: env},
 		"publish":  &command.Publish{Environment: env},
@@ -162,13 +162,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		var b bench
-		b.beforeHead = func() { b.server.SetFaults(platformstandin.Faults{Down: true}) }
+		b.beforeHead = func() { b.server.SetFaults(registrystandin.Faults{Down: true}) }
 		out, exit := b.run(t, "publish", example)
 		is.Equal(exit, subcommands.ExitFailure)
 		_, id, found := strings.Cut(out, "-publication ")
 		is.True(found)
 		id, _, _ = strings.Cut(id, ":")
-		b.server.SetFaults(platformstandin.Faults{})
+		b.server.SetFaults(registrystandin.Faults{})
 		for range 2 {
 			out, exit = b.run(t, "publish", "-publication", id, example)
 			is.Equal(exit, subcommands.ExitSuccess)
@@ -206,7 +206,7 @@
 	is.True(strings.Contains(out, "stragglers: a2, a3, a4, a5, a6"))
 	is.True(strings.Contains(out, "1 live"))
 
-	b.server.SetFaults(platformstandin.Faults{Down: true})
+	b.server.SetFaults(registrystandin.Faults{Down: true})
 	out, exit = b.run(t, "status", "-json", "-hosts", strings.Join(admins, ","))
 	is.Equal(exit, subcommands.ExitFailure)
 	var report command.Report
@@ -225,7 +225,7 @@
 	}))
 	t.Cleanup(server.Close)
 	admin := netip.MustParseAddrPort(server.Listener.Addr().String())
-	object := platform.HostObject{Host: fleet.Host{ID: host.Host}, Admin: admin, State: platform.HostLive}
+	object := registry.HostObject{Host: fleet.Host{ID: host.Host}, Admin: admin, State: registry.HostLive}
 	if err := b.client().RegisterObject(t.Context(), object, time.Minute); err != nil {
 		t.Fatal(err)
 	}
--- a/command/edit.go
+++ b/command/edit.go
@@ -11,7 +11,7 @@
 
 	"github.com/rattanthread/rattanthread/config"
 	"github.com/rattanthread/rattanthread/fleet"
-	"github.com/rattanthread/rattanthread/platform"
+	"github.com/rattanthread/rattanthread/registry"
 )
 
 // editAttempts is how often an edit is repeated when others change other objects.
@@ -36,7 +36,7 @@
 	}
 	for range editAttempts {
 		err := e.try(ctx, p, current)
-		lost, ok := errors.Into[*platform.ConflictError](err)
+		lost, ok := errors.Into[*registry.ConflictError](err)
 		if !ok {
 			return err
 		}
--- a/command/platform.go
+++ b/command/platform.go
@@ -12,7 +12,7 @@
 	"github.com/go-faster/errors"
 	"github.com/google/subcommands"
 
-	"github.com/rattanthread/rattanthread/platformstandin"
+	"github.com/rattanthread/rattanthread/registrystandin"
 )
 
 // headerTimeout bounds how long a caller of the stand-in takes for its header.
@@ -74,7 +74,7 @@
 	if c.Listening != nil {
 		c.Listening(listener.Addr())
 	}
-	server := http.Server{Handler: &platformstandin.Server{}, ReadHeaderTimeout: headerTimeout}
+	server := http.Server{Handler: &registrystandin.Server{}, ReadHeaderTimeout: headerTimeout}
 	go func() {
 		<-ctx.Done()
 		_ = server.Close()
--- a/command/publish.go
+++ b/command/publish.go
@@ -10,7 +10,7 @@
 
 	"github.com/rattanthread/rattanthread/config"
 	"github.com/rattanthread/rattanthread/fleet"
-	"github.com/rattanthread/rattanthread/platform"
+	"github.com/rattanthread/rattanthread/registry"
 )
 
 // Publish is the command that puts files in force.
@@ -108,7 +108,7 @@
 // publisher publishes sets for one command.
 type publisher struct {
 	environment *Environment
-	client      *platform.Client
+	client      *registry.Client
 	publication string
 	// byID is set for a command that takes the id of an attempt to repeat.
 	byID bool
@@ -116,7 +116,7 @@
 
 // inForce is what a command read before its change.
 type inForce struct {
-	head    platform.Head
+	head    registry.Head
 	revised config.Revised
 }
 
@@ -135,9 +135,9 @@
 	if id == "" {
 		id = uuid.NewString()
 	}
-	revised, err := p.client.PublishDraft(ctx, current.head, platform.Draft{Set: set, Publication: id, Message: message})
+	revised, err := p.client.PublishDraft(ctx, current.head, registry.Draft{Set: set, Publication: id, Message: message})
 	switch {
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, registry.ErrUnavailable):
 		return errors.Wrapf(err, "it is unknown whether this was published; %s", p.repeat(id))
 	case err != nil:
 		return err
@@ -160,7 +160,7 @@
 // prune deletes the revisions that are too old for a rollback. What it can't
 // delete now it finds again after the next publication.
 func (p *publisher) prune(ctx context.Context, revised config.Revised) {
-	head := platform.Head{History: revised.History, Revision: revised.Revision}
+	head := registry.Head{History: revised.History, Revision: revised.Revision}
 	if _, err := p.client.Prune(ctx, head, keptRevisions); err != nil {
 		p.environment.printf("old revisions are still there: %v\n", err)
 	}
@@ -182,7 +182,7 @@
 
 // conflict shows what another publication changed, and returns the error.
 func (p *publisher) conflict(current inForce, err error) error {
-	lost, ok := errors.Into[*platform.ConflictError](err)
+	lost, ok := errors.Into[*registry.ConflictError](err)
 	if !ok {
 		return err
 	}
--- a/command/rollback.go
+++ b/command/rollback.go
@@ -11,7 +11,7 @@
 
 	"github.com/rattanthread/rattanthread/config"
 	"github.com/rattanthread/rattanthread/fleet"
-	"github.com/rattanthread/rattanthread/platform"
+	"github.com/rattanthread/rattanthread/registry"
 )
 
 // Rollback is the command that puts an older revision in force again.
@@ -69,7 +69,7 @@
 		return err
 	}
 	older, err := publisher.client.Fetch(ctx, rev)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, registry.ErrNotFound) {
 		return badInput("there is no revision %d: %d is in force", rev, current.head.Revision)
 	}
 	if err != nil {
--- a/command/status.go
+++ b/command/status.go
@@ -20,7 +20,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/rattanthread/rattanthread/fleet"
-	"github.com/rattanthread/rattanthread/platform"
+	"github.com/rattanthread/rattanthread/registry"
 	"github.com/rattanthread/rattanthread/status"
 )
 
@@ -82,7 +82,7 @@
 type HostReport struct {
 	Host  string             `json:"host"`
 	Admin netip.AddrPort     `json:"admin"`
-	State platform.HostState `json:"state,omitempty"`
+	State registry.HostState `json:"state,omitempty"`
 	Error string             `json:"error,omitempty"`
 	Lags  string             `json:"lags,omitempty"`
 	// Status is what the host says; nil if it didn't answer.
@@ -133,7 +133,7 @@
 }
 
 // listHosts returns the hosts to ask.
-func (c *Status) listHosts(ctx context.Context, client *platform.Client) ([]HostReport, error) {
+func (c *Status) listHosts(ctx context.Context, client *registry.Client) ([]HostReport, error) {
 	var hosts []HostReport
 	if c.Hosts != "" {
 		for text := range strings.SplitSeq(c.Hosts, ",") {
@@ -223,7 +223,7 @@
 		return "another history"
 	case h.Status.Revision < r.Revision:
 		return fmt.Sprintf("%d behind", r.Revision-h.Status.Revision)
-	case !h.Status.Ready && h.State != platform.HostLeaving:
+	case !h.Status.Ready && h.State != registry.HostLeaving:
 		return "not ready: " + h.Status.Reason
 	default:
 		return ""
--- a/host/host.go
+++ b/host/host.go
@@ -24,7 +24,7 @@
 	"github.com/rattanthread/rattanthread/fleet"
 	"github.com/rattanthread/rattanthread/flow"
 	"github.com/rattanthread/rattanthread/peer"
-	"github.com/rattanthread/rattanthread/platform"
+	"github.com/rattanthread/rattanthread/registry"
 	"github.com/rattanthread/rattanthread/settings"
 	"github.com/rattanthread/rattanthread/status"
 )
@@ -72,7 +72,7 @@
 	sockets   *sockets
 	counters  *counters
 	hub       *peer.Hub
-	client    *platform.Client
+	client    *registry.Client
 	loop      *loop
 	handshake backend.Handshakes
 	silence   *flow.Silence
@@ -156,7 +156,7 @@
 		sockets:  s,
 		counters: c,
 		silence:  &flow.Silence{Flows: min(h.Settings.Limits.FlowRecords, maxSilence), Key: flowKey(key)},
-		client:   &platform.Client{URL: h.Settings.Platform.URL, Timeout: h.Settings.Platform.Timeout},
+		client:   &registry.Client{URL: h.Settings.Platform.URL, Timeout: h.Settings.Platform.Timeout},
 	}
 	p.loop = newLoop(h, p)
 	p.hub = h.newHub(p)
--- a/host/host_test.go
+++ b/host/host_test.go
@@ -19,8 +19,8 @@
 	"github.com/rattanthread/rattanthread/control"
 	"github.com/rattanthread/rattanthread/fleet"
 	"github.com/rattanthread/rattanthread/host"
-	"github.com/rattanthread/rattanthread/platform"
-	"github.com/rattanthread/rattanthread/platformstandin"
+	"github.com/rattanthread/rattanthread/registry"
+	"github.com/rattanthread/rattanthread/registrystandin"
 	"github.com/rattanthread/rattanthread/settings"
 	"github.com/rattanthread/rattanthread/status"
 )
@@ -132,7 +132,7 @@
 func publish(t *testing.T, url string, set config.Set) {
 	t.Helper()
 	is := is.New(t)
-	client := &platform.Client{URL: url}
+	client := &registry.Client{URL: url}
 	head, err := client.Head(t.Context())
 	is.NoErr(err)
 	_, err = client.Publish(t.Context(), head, set, uuid.NewString())
@@ -183,7 +183,7 @@
 
 func TestRequestRunsOnceThroughAnyHost(t *testing.T) {
 	is := is.New(t)
-	store := httptest.NewServer(&platformstandin.Server{})
+	store := httptest.NewServer(&registrystandin.Server{})
 	t.Cleanup(store.Close)
 	runs := make(chan string, 100)
 	publish(t, store.URL, requestSet(scoreServer(t, runs)))
@@ -202,7 +202,7 @@
 // A crash of the control state must not stop the traffic for good.
 func TestControlRestartsAfterCrash(t *testing.T) {
 	is := is.New(t)
-	store := httptest.NewServer(&platformstandin.Server{})
+	store := httptest.NewServer(&registrystandin.Server{})
 	t.Cleanup(store.Close)
 	publish(t, store.URL, requestSet(scoreServer(t, make(chan string, 100))))
 	f := newFleet(t, store.URL, "a1")
--- a/host/reader.go
+++ b/host/reader.go
@@ -6,7 +6,7 @@
 
 	"github.com/rattanthread/rattanthread/control"
 	"github.com/rattanthread/rattanthread/fleet"
-	"github.com/rattanthread/rattanthread/platform"
+	"github.com/rattanthread/rattanthread/registry"
 )
 
 const (
@@ -64,14 +64,14 @@
 	return r.fetch(ctx, head)
 }
 
-func (r *reader) head(ctx context.Context, inForce fleet.Revision, watch bool) (platform.Head, error) {
+func (r *reader) head(ctx context.Context, inForce fleet.Revision, watch bool) (registry.Head, error) {
 	if watch {
 		return r.parts.client.Watch(ctx, inForce, watchWait)
 	}
 	return r.parts.client.Head(ctx)
 }
 
-func (r *reader) fetch(ctx context.Context, head platform.Head) bool {
+func (r *reader) fetch(ctx context.Context, head registry.Head) bool {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	revised, err := r.parts.client.FetchHead(ctx, head)
--- a/host/registrar.go
+++ b/host/registrar.go
@@ -7,7 +7,7 @@
 	"github.com/go-faster/errors"
 	"github.com/thejerf/suture/v4"
 
-	"github.com/rattanthread/rattanthread/platform"
+	"github.com/rattanthread/rattanthread/registry"
 )
 
 const (
@@ -24,8 +24,8 @@
 
 func (r *registrar) serve(ctx context.Context) error {
 	for ctx.Err() == nil {
-		err := r.parts.client.RegisterObject(ctx, hostObject(r.host, r.parts, platform.HostLive), hostLease)
-		if errors.Is(err, platform.ErrConflict) {
+		err := r.parts.client.RegisterObject(ctx, hostObject(r.host, r.parts, registry.HostLive), hostLease)
+		if errors.Is(err, registry.ErrConflict) {
 			r.parts.loop.supersede()
 			return suture.ErrDoNotRestart
 		}
@@ -40,8 +40,8 @@
 	return nil
 }
 
-func hostObject(h *Host, p *parts, state platform.HostState) platform.HostObject {
-	return platform.HostObject{Host: p.self, Admin: h.Settings.Listen.Admin, State: state}
+func hostObject(h *Host, p *parts, state registry.HostState) registry.HostObject {
+	return registry.HostObject{Host: p.self, Admin: h.Settings.Listen.Admin, State: state}
 }
 
 // deregister takes the host out of the platform's list before a planned stop.
--- a/platform/client.go
+++ b/registry/client.go
@@ -1,4 +1,4 @@
-// Package platform is the client of the platform's object API, where the
+// Package registry is the client of the platform's object API, where the
 // published configuration and the list of entry hosts are kept.
 //
 // A configuration revision is one immutable object. Publishing it stores that
@@ -6,9 +6,9 @@
 // in force whole or not at all. Each publication has an id, by which a lost
 // answer is resolved and a repeated publication is harmless.
 //
-// The API itself is described in docs/PLATFORM.md; package platformstandin
+// The API itself is described in docs/PLATFORM.md; package registrystandin
 // serves it for tests and trials.
-package platform
+package registry
 
 import (
 	"cmp"
--- a/platform/client_test.go
+++ b/registry/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package registry_test
 
 import (
 	"context"
@@ -14,8 +14,8 @@
 	"github.com/matryer/is"
 
 	"github.com/rattanthread/rattanthread/fleet"
-	"github.com/rattanthread/rattanthread/platform"
-	"github.com/rattanthread/rattanthread/platformstandin"
+	"github.com/rattanthread/rattanthread/registry"
+	"github.com/rattanthread/rattanthread/registrystandin"
 )
 
 // cutAfter cancels after the first write to a path, as if the caller had died.
@@ -36,7 +36,7 @@
 func TestWatch(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		var server platformstandin.Server
+		var server registrystandin.Server
 		c := newClient(&server)
 		publish(t, c, "tp1", "publication-1")
 		_, err := c.Head(t.Context())
@@ -68,26 +68,26 @@
 // A publication costs the same few calls however large the fleet is.
 func TestCallsOfAChange(t *testing.T) {
 	is := is.New(t)
-	var server platformstandin.Server
+	var server registrystandin.Server
 	publish(t, newClient(&server), "tp1", "publication-1")
 	reader, publisher := newClient(&server), newClient(&server)
 	_, err := reader.Head(t.Context())
 	is.NoErr(err)
 	publish(t, publisher, "tp2", "publication-2")
-	is.Equal(publisher.Counts()[platform.CallRead], uint64(2))
-	is.Equal(publisher.Counts()[platform.CallWrite], uint64(2))
+	is.Equal(publisher.Counts()[registry.CallRead], uint64(2))
+	is.Equal(publisher.Counts()[registry.CallWrite], uint64(2))
 	head, err := reader.Watch(t.Context(), 1, time.Minute)
 	is.NoErr(err)
 	_, err = reader.FetchHead(t.Context(), head)
 	is.NoErr(err)
-	is.Equal(reader.Counts()[platform.CallWatch], uint64(1))
-	is.Equal(reader.Counts()[platform.CallRead], uint64(2)) // the first head, and the revision
+	is.Equal(reader.Counts()[registry.CallWatch], uint64(1))
+	is.Equal(reader.Counts()[registry.CallRead], uint64(2)) // the first head, and the revision
 }
 
 func TestWatchSeesRecreatedStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		var server platformstandin.Server
+		var server registrystandin.Server
 		c := newClient(&server)
 		publish(t, c, "tp1", "publication-1")
 		publish(t, c, "tp2", "publication-2")
@@ -105,12 +105,12 @@
 func TestWatchKeepsRevision(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		var server platformstandin.Server
+		var server registrystandin.Server
 		c := newClient(&server)
 		publish(t, c, "tp1", "publication-1")
 		time.Sleep(time.Minute)
 		publish(t, c, "tp2", "publication-2")
-		server.SetFaults(platformstandin.Faults{Lag: 30 * time.Second})
+		server.SetFaults(registrystandin.Faults{Lag: 30 * time.Second})
 		start := time.Now()
 		head, err := c.Watch(t.Context(), 2, 10*time.Second)
 		is.NoErr(err)
@@ -122,7 +122,7 @@
 func TestHostsAreFencedByIncarnation(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		var server platformstandin.Server
+		var server registrystandin.Server
 		host := fleet.Host{ID: "a1", DataCentre: "tp1", Incarnation: 1, PeerAddress: netip.MustParseAddrPort("127.0.0.1:9")}
 		old, replacement := newClient(&server), newClient(&server)
 		is.NoErr(old.Register(t.Context(), host, 10*time.Second))
@@ -133,14 +133,14 @@
 		next.Incarnation = 2
 		is.NoErr(replacement.Register(t.Context(), next, 10*time.Second))
 		err := old.Register(t.Context(), host, 10*time.Second)
-		is.True(errors.Is(err, platform.ErrConflict)) // the paused holder finds out
+		is.True(errors.Is(err, registry.ErrConflict)) // the paused holder finds out
 		is.NoErr(old.Deregister(t.Context(), "a1"))
 		hosts, err := old.Hosts(t.Context())
 		is.NoErr(err)
 		is.Equal(hosts, []fleet.Host{next})
 
-		server.SetFaults(platformstandin.Faults{LoseAnswers: 1})
-		is.True(errors.Is(replacement.Register(t.Context(), next, 10*time.Second), platform.ErrUnavailable))
+		server.SetFaults(registrystandin.Faults{LoseAnswers: 1})
+		is.True(errors.Is(replacement.Register(t.Context(), next, 10*time.Second), registry.ErrUnavailable))
 		is.NoErr(replacement.Register(t.Context(), next, 10*time.Second))
 
 		time.Sleep(11 * time.Second)
@@ -152,7 +152,7 @@
 
 func TestMalformedHostHidesNoOther(t *testing.T) {
 	is := is.New(t)
-	var server platformstandin.Server
+	var server registrystandin.Server
 	c := newClient(&server)
 	is.NoErr(c.Register(t.Context(), fleet.Host{ID: "a1"}, time.Minute))
 	request, err := http.NewRequestWithContext(t.Context(), http.MethodPut, c.URL+"/v1/objects/hosts/a2", strings.NewReader("?"))
@@ -163,24 +163,24 @@
 	hosts, err := c.Hosts(t.Context())
 	is.NoErr(err)
 	is.Equal(len(hosts), 1)
-	is.Equal(c.Counts()[platform.CallMalformed], uint64(1))
+	is.Equal(c.Counts()[registry.CallMalformed], uint64(1))
 }
 
 func TestErrorsCarryStepAndPeer(t *testing.T) {
 	tests := map[string]struct {
-		faults platformstandin.Faults
+		faults registrystandin.Faults
 		rate   float64
 		kind   error
 	}{
-		"down":    {faults: platformstandin.Faults{Down: true}, kind: platform.ErrUnavailable},
-		"slow":    {faults: platformstandin.Faults{Delay: time.Minute}, kind: platform.ErrUnavailable},
-		"limited": {rate: 0.001, kind: platform.ErrUnavailable},
+		"down":    {faults: registrystandin.Faults{Down: true}, kind: registry.ErrUnavailable},
+		"slow":    {faults: registrystandin.Faults{Delay: time.Minute}, kind: registry.ErrUnavailable},
+		"limited": {rate: 0.001, kind: registry.ErrUnavailable},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				server := platformstandin.Server{ReadsPerSecond: test.rate}
+				server := registrystandin.Server{ReadsPerSecond: test.rate}
 				c := newClient(&server)
 				if test.rate > 0 {
 					_, err := c.Head(t.Context())
@@ -189,11 +189,11 @@
 				server.SetFaults(test.faults)
 				_, err := c.Hosts(t.Context())
 				is.True(errors.Is(err, test.kind))
-				failure, ok := errors.Into[*platform.Error](err)
+				failure, ok := errors.Into[*registry.Error](err)
 				is.True(ok)
-				is.Equal(failure.Step, platform.StepHosts)
+				is.Equal(failure.Step, registry.StepHosts)
 				is.Equal(failure.Peer, c.URL)
-				is.Equal(c.Counts()[platform.CallFailed], uint64(1))
+				is.Equal(c.Counts()[registry.CallFailed], uint64(1))
 				time.Sleep(2 * time.Minute)
 			})
 		})
@@ -202,9 +202,9 @@
 
 func TestAnswersAreBounded(t *testing.T) {
 	is := is.New(t)
-	c := &platform.Client{URL: "http://platform.test", HTTP: &http.Client{Transport: endless{}}}
+	c := &registry.Client{URL: "http://platform.test", HTTP: &http.Client{Transport: endless{}}}
 	_, err := c.Head(t.Context())
-	is.True(errors.Is(err, platform.ErrUnavailable))
+	is.True(errors.Is(err, registry.ErrUnavailable))
 	is.True(strings.Contains(err.Error(), "longer than"))
 }
 
--- a/platform/example_test.go
+++ b/registry/example_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package registry_test
 
 import (
 	"context"
@@ -6,13 +6,13 @@
 	"fmt"
 
 	"github.com/rattanthread/rattanthread/config"
-	"github.com/rattanthread/rattanthread/platform"
-	"github.com/rattanthread/rattanthread/platformstandin"
+	"github.com/rattanthread/rattanthread/registry"
+	"github.com/rattanthread/rattanthread/registrystandin"
 )
 
 func ExampleClient_Publish() {
-	var server platformstandin.Server
-	c := platform.Client{URL: "http://platform.test", HTTP: server.HTTPClient()}
+	var server registrystandin.Server
+	c := registry.Client{URL: "http://platform.test", HTTP: server.HTTPClient()}
 	ctx := context.Background()
 
 	base, _ := c.Head(ctx)
@@ -21,7 +21,7 @@
 	fmt.Println(revised.Revision, err)
 
 	_, err = c.Publish(ctx, base, set, "second-publication")
-	fmt.Println(errors.Is(err, platform.ErrConflict), err)
+	fmt.Println(errors.Is(err, registry.ErrConflict), err)
 	// Output:
 	// 1 <nil>
 	// true revision 1 was published after revision 0 was read
--- a/platform/prune.go
+++ b/registry/prune.go
@@ -1,4 +1,4 @@
-package platform
+package registry
 
 import (
 	"context"
--- a/platform/publish_test.go
+++ b/registry/publish_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package registry_test
 
 import (
 	"context"
@@ -13,8 +13,8 @@
 
 	"github.com/rattanthread/rattanthread/config"
 	"github.com/rattanthread/rattanthread/fleet"
-	"github.com/rattanthread/rattanthread/platform"
-	"github.com/rattanthread/rattanthread/platformstandin"
+	"github.com/rattanthread/rattanthread/registry"
+	"github.com/rattanthread/rattanthread/registrystandin"
 )
 
 // setWith returns a set that differs by the name of its data centre.
@@ -22,11 +22,11 @@
 	return config.Set{DataCentres: []config.DataCentre{{Name: name}}}.Normalised()
 }
 
-func newClient(s *platformstandin.Server) *platform.Client {
-	return &platform.Client{URL: "http://platform.test", HTTP: s.HTTPClient(), Timeout: time.Second}
+func newClient(s *registrystandin.Server) *registry.Client {
+	return &registry.Client{URL: "http://platform.test", HTTP: s.HTTPClient(), Timeout: time.Second}
 }
 
-func publish(t *testing.T, c *platform.Client, name fleet.DataCentreID, publication string) config.Revised {
+func publish(t *testing.T, c *registry.Client, name fleet.DataCentreID, publication string) config.Revised {
 	t.Helper()
 	is := is.New(t)
 	base, err := c.Head(t.Context())
@@ -38,7 +38,7 @@
 
 func TestPublishAndFetch(t *testing.T) {
 	is := is.New(t)
-	var server platformstandin.Server
+	var server registrystandin.Server
 	c := newClient(&server)
 	for i := range 70 { // past the earlier publications that one revision lists
 		publish(t, c, fleet.DataCentreID(fmt.Sprintf("dc-%d", i+1)), fmt.Sprintf("publication-%d", i+1))
@@ -52,7 +52,7 @@
 		is.Equal(got.History, fleet.HistoryID("publication-1"))
 	}
 	_, err := fresh.Fetch(t.Context(), 71)
-	is.True(errors.Is(err, platform.ErrNotFound))
+	is.True(errors.Is(err, registry.ErrNotFound))
 }
 
 func TestLostAnswerPublishesOnce(t *testing.T) {
@@ -60,12 +60,12 @@
 		t.Run(fmt.Sprintf("%d answers lost", lost), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				var server platformstandin.Server
+				var server registrystandin.Server
 				c := newClient(&server)
 				publish(t, c, "tp1", "publication-1")
 				base, err := c.Head(t.Context())
 				is.NoErr(err)
-				server.SetFaults(platformstandin.Faults{LoseAnswers: lost})
+				server.SetFaults(registrystandin.Faults{LoseAnswers: lost})
 				first, err := c.Publish(t.Context(), base, setWith("tp2"), "publication-2")
 				is.NoErr(err)
 				again, err := c.Publish(t.Context(), base, setWith("tp2"), "publication-2")
@@ -73,7 +73,7 @@
 				is.Equal(first.Revision, fleet.Revision(2))
 				is.Equal(again, first)
 				is.Equal(server.Counts().Applied, uint64(4)) // two revisions and two heads
-				is.Equal(c.Counts()[platform.CallRetry] > 0, lost > 0)
+				is.Equal(c.Counts()[registry.CallRetry] > 0, lost > 0)
 			})
 		})
 	}
@@ -83,15 +83,15 @@
 func TestLateWritePublishesOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		var server platformstandin.Server
+		var server registrystandin.Server
 		c := newClient(&server)
 		publish(t, c, "tp1", "publication-1")
 		base, err := c.Head(t.Context())
 		is.NoErr(err)
-		server.SetFaults(platformstandin.Faults{Delay: 1500 * time.Millisecond})
+		server.SetFaults(registrystandin.Faults{Delay: 1500 * time.Millisecond})
 		_, err = c.Publish(t.Context(), base, setWith("tp2"), "publication-2")
-		is.True(errors.Is(err, platform.ErrUnavailable))
-		server.SetFaults(platformstandin.Faults{})
+		is.True(errors.Is(err, registry.ErrUnavailable))
+		server.SetFaults(registrystandin.Faults{})
 		revised, err := c.Publish(t.Context(), base, setWith("tp2"), "publication-2")
 		is.NoErr(err)
 		is.Equal(revised.Revision, fleet.Revision(2))
@@ -105,7 +105,7 @@
 // A repeated publication is found although others came after it.
 func TestRepeatAfterOthers(t *testing.T) {
 	is := is.New(t)
-	var server platformstandin.Server
+	var server registrystandin.Server
 	c := newClient(&server)
 	base, err := c.Head(t.Context())
 	is.NoErr(err)
@@ -122,13 +122,13 @@
 		is.NoErr(err)
 	}
 	is.Equal(base.Revision, fleet.Revision(3))
-	_, err = c.Publish(t.Context(), platform.Head{}, setWith("other"), "publication-1")
-	is.True(errors.Is(err, platform.ErrRefused)) // the id belongs to another set
+	_, err = c.Publish(t.Context(), registry.Head{}, setWith("other"), "publication-1")
+	is.True(errors.Is(err, registry.ErrRefused)) // the id belongs to another set
 }
 
 func TestRacingOperators(t *testing.T) {
 	is := is.New(t)
-	var server platformstandin.Server
+	var server registrystandin.Server
 	publish(t, newClient(&server), "tp1", "publication-1")
 	const operators = 16
 	var wg sync.WaitGroup
@@ -151,10 +151,10 @@
 			is.Equal(final.Publication, fmt.Sprintf("operator-%d", i))
 			continue
 		}
-		conflict, ok := errors.Into[*platform.ConflictError](err)
+		conflict, ok := errors.Into[*registry.ConflictError](err)
 		is.True(ok) // every loser is told who won
 		is.Equal(conflict.Winner.Publication, final.Publication)
-		is.True(errors.Is(err, platform.ErrConflict))
+		is.True(errors.Is(err, registry.ErrConflict))
 	}
 	is.Equal(won, 1)
 }
@@ -162,7 +162,7 @@
 // A publisher that dies between its two writes leaves what is in force alone.
 func TestHalfAppliedIsNotVisible(t *testing.T) {
 	is := is.New(t)
-	var server platformstandin.Server
+	var server registrystandin.Server
 	c := newClient(&server)
 	publish(t, c, "tp1", "publication-1")
 	base, err := c.Head(t.Context())
@@ -184,18 +184,18 @@
 func TestStaleBaseConflicts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		var server platformstandin.Server
+		var server registrystandin.Server
 		c := newClient(&server)
 		publish(t, c, "tp1", "publication-1")
 		time.Sleep(time.Minute)
 		publish(t, c, "tp2", "publication-2")
-		server.SetFaults(platformstandin.Faults{Lag: 3 * time.Second})
+		server.SetFaults(registrystandin.Faults{Lag: 3 * time.Second})
 		late := newClient(&server)
 		base, err := late.Head(t.Context())
 		is.NoErr(err)
 		is.Equal(base.Revision, fleet.Revision(1))
 		_, err = late.Publish(t.Context(), base, setWith("tp3"), "publication-3")
-		conflict, ok := errors.Into[*platform.ConflictError](err)
+		conflict, ok := errors.Into[*registry.ConflictError](err)
 		is.True(ok)
 		is.Equal(conflict.Winner.Publication, "publication-2") // not the stale one
 	})
@@ -203,7 +203,7 @@
 
 func TestPrune(t *testing.T) {
 	is := is.New(t)
-	var server platformstandin.Server
+	var server registrystandin.Server
 	c := newClient(&server)
 	for i := range 6 {
 		publish(t, c, fleet.DataCentreID(fmt.Sprintf("dc-%d", i)), fmt.Sprintf("publication-%d", i))
@@ -215,13 +215,13 @@
 	is.Equal(deleted, 4)
 	for rev := fleet.Revision(1); rev <= 6; rev++ {
 		_, err := c.Fetch(t.Context(), rev)
-		is.Equal(errors.Is(err, platform.ErrNotFound), rev <= 4)
+		is.Equal(errors.Is(err, registry.ErrNotFound), rev <= 4)
 	}
 }
 
 func TestSinceFollowsState(t *testing.T) {
 	is := is.New(t)
-	var server platformstandin.Server
+	var server registrystandin.Server
 	c := newClient(&server)
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	c.Now = func() time.Time { return now }
--- a/platformstandin/faults.go
+++ b/registrystandin/faults.go
@@ -1,4 +1,4 @@
-package platformstandin
+package registrystandin
 
 import (
 	"net/http"
--- a/platformstandin/server.go
+++ b/registrystandin/server.go
@@ -1,10 +1,10 @@
-// Package platformstandin is a small stand-in for the platform's object API. It
+// Package registrystandin is a small stand-in for the platform's object API. It
 // keeps objects in memory and can be made slow, unreachable, forgetful of
 // answers or late with its reads, so that tests and users can try outages.
 //
 // Server is an http.Handler. Its faults are set by SetFaults, or over HTTP at
 // /faults. docs/PLATFORM.md describes the API.
-package platformstandin
+package registrystandin
 
 import (
 	"encoding/json"
@@ -18,7 +18,7 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/rattanthread/rattanthread/platform"
+	"github.com/rattanthread/rattanthread/registry"
 )
 
 // Limits of the stand-in, as the platform has them.
@@ -187,7 +187,7 @@
 	defer end.Stop()
 	for {
 		e, ok, news, lag := s.look(name)
-		if ok && e.version > platform.Version(after) {
+		if ok && e.version > registry.Version(after) {
 			writeObject(w, e)
 			return
 		}
@@ -230,9 +230,9 @@
 }
 
 func (s *Server) serveWrite(w http.ResponseWriter, r *http.Request, name string) {
-	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, platform.MaxObjectBytes))
+	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, registry.MaxObjectBytes))
 	if err != nil {
-		http.Error(w, fmt.Sprintf("object is larger than %d bytes", platform.MaxObjectBytes), http.StatusRequestEntityTooLarge)
+		http.Error(w, fmt.Sprintf("object is larger than %d bytes", registry.MaxObjectBytes), http.StatusRequestEntityTooLarge)
 		return
 	}
 	lease, err := time.ParseDuration(r.URL.Query().Get("lease"))
@@ -254,7 +254,7 @@
 }
 
 // apply makes a write whose conditions hold. It returns the object's version.
-func (s *Server) apply(name string, change entry, lease time.Duration, conditions http.Header) (version platform.Version, applied, lost bool) {
+func (s *Server) apply(name string, change entry, lease time.Duration, conditions http.Header) (version registry.Version, applied, lost bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
@@ -320,4 +320,4 @@
 	_ = json.NewEncoder(w).Encode(v)
 }
 
-func etag(v platform.Version) string { return fmt.Sprintf("%q", strconv.FormatUint(uint64(v), 10)) }
+func etag(v registry.Version) string { return fmt.Sprintf("%q", strconv.FormatUint(uint64(v), 10)) }
--- a/platformstandin/server_test.go
+++ b/registrystandin/server_test.go
@@ -1,4 +1,4 @@
-package platformstandin_test
+package registrystandin_test
 
 import (
 	"encoding/json"
@@ -12,7 +12,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/rattanthread/rattanthread/platformstandin"
+	"github.com/rattanthread/rattanthread/registrystandin"
 )
 
 // call makes one request and returns its status, ETag and body.
@@ -60,7 +60,7 @@
 		{"POST", "/faults?mood=bad", "", "", 400, ""},
 		{"GET", "/elsewhere", "", "", 404, ""},
 	}
-	server := httptest.NewServer(&platformstandin.Server{})
+	server := httptest.NewServer(&registrystandin.Server{})
 	defer server.Close()
 	for _, step := range steps {
 		status, etag, body := call(t, server.Client(), step.method, server.URL+step.path, step.header, step.value)
@@ -73,7 +73,7 @@
 // The faults do over HTTP what the page says.
 func TestFaultsOverHTTP(t *testing.T) {
 	is := is.New(t)
-	server := httptest.NewServer(&platformstandin.Server{})
+	server := httptest.NewServer(&registrystandin.Server{})
 	defer server.Close()
 	// On a connection that it has used before, net/http would repeat a lost read.
 	c, root := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, server.URL
@@ -90,9 +90,9 @@
 	status, _, _ = call(t, c, "GET", root+"/v1/objects/a", "", "")
 	is.Equal(status, 200)
 	_, _, body = call(t, c, "GET", root+"/counts", "", "")
-	var counts platformstandin.Counts
+	var counts registrystandin.Counts
 	is.NoErr(json.Unmarshal([]byte(body), &counts))
-	is.Equal(counts, platformstandin.Counts{Reads: 3, Writes: 1, Applied: 1, Dropped: 1, LostAnswers: 1})
+	is.Equal(counts, registrystandin.Counts{Reads: 3, Writes: 1, Applied: 1, Dropped: 1, LostAnswers: 1})
 	call(t, c, "POST", root+"/reset", "", "")
 	status, _, _ = call(t, c, "GET", root+"/v1/objects/a", "", "")
 	is.Equal(status, 404)
@@ -101,17 +101,17 @@
 func TestLagAndLease(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		var server platformstandin.Server
+		var server registrystandin.Server
 		c, root := server.HTTPClient(), "http://platform.test/v1/objects"
 		call(t, c, "PUT", root+"/hosts/a?lease=30s", "", "old")
 		time.Sleep(10 * time.Second)
 		call(t, c, "PUT", root+"/hosts/a?lease=30s", "", "new")
-		server.SetFaults(platformstandin.Faults{ListLag: 5 * time.Second})
+		server.SetFaults(registrystandin.Faults{ListLag: 5 * time.Second})
 		_, _, body := call(t, c, "GET", root+"?prefix=hosts/", "", "")
 		is.True(strings.Contains(body, "b2xk")) // the list shows "old"
 		_, _, body = call(t, c, "GET", root+"/hosts/a", "", "")
 		is.Equal(body, "new")
-		server.SetFaults(platformstandin.Faults{Lag: 5 * time.Second})
+		server.SetFaults(registrystandin.Faults{Lag: 5 * time.Second})
 		_, _, body = call(t, c, "GET", root+"/hosts/a", "", "")
 		is.Equal(body, "old")
 		start := time.Now()
--- a/platformstandin/store.go
+++ b/registrystandin/store.go
@@ -1,4 +1,4 @@
-package platformstandin
+package registrystandin
 
 import (
 	"cmp"
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"github.com/rattanthread/rattanthread/platform"
+	"github.com/rattanthread/rattanthread/registry"
 )
 
 // maxOldEntries bounds the old values of an object that lagging reads can show.
@@ -15,7 +15,7 @@
 // entry is the value that an object had from a time on.
 type entry struct {
 	at      time.Time
-	version platform.Version
+	version registry.Version
 	value   []byte
 	deleted bool
 	expires time.Time // zero for objects without lease
@@ -23,12 +23,12 @@
 
 // store keeps the recent values of each object, the latest last.
 type store struct {
-	version platform.Version
+	version registry.Version
 	objects map[string][]entry
 }
 
 // put appends a value and returns its version, which rises over all objects.
-func (s *store) put(name string, e entry) platform.Version {
+func (s *store) put(name string, e entry) registry.Version {
 	if s.objects == nil {
 		s.objects = map[string][]entry{}
 	}
@@ -53,16 +53,16 @@
 	return entry{}, false
 }
 
-func (s *store) list(prefix string, when, now time.Time) platform.List {
-	list := platform.List{Objects: []platform.Listed{}}
+func (s *store) list(prefix string, when, now time.Time) registry.List {
+	list := registry.List{Objects: []registry.Listed{}}
 	for name := range s.objects {
 		if !strings.HasPrefix(name, prefix) {
 			continue
 		}
 		if e, ok := s.at(name, when, now); ok {
-			list.Objects = append(list.Objects, platform.Listed{Name: name, Version: e.version, Value: e.value})
+			list.Objects = append(list.Objects, registry.Listed{Name: name, Version: e.version, Value: e.value})
 		}
 	}
-	slices.SortFunc(list.Objects, func(a, b platform.Listed) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(list.Objects, func(a, b registry.Listed) int { return cmp.Compare(a.Name, b.Name) })
 	return list
 }
--- a/trial/world.go
+++ b/trial/world.go
@@ -15,8 +15,8 @@
 
 	"github.com/rattanthread/rattanthread/config"
 	"github.com/rattanthread/rattanthread/fleet"
-	"github.com/rattanthread/rattanthread/platform"
-	"github.com/rattanthread/rattanthread/platformstandin"
+	"github.com/rattanthread/rattanthread/registry"
+	"github.com/rattanthread/rattanthread/registrystandin"
 	"github.com/rattanthread/rattanthread/standin"
 )
 
@@ -40,8 +40,8 @@
 
 	centres        []fleet.DataCentreID
 	set            config.Set
-	platformServer *platformstandin.Server
-	platform       *platform.Client
+	platformServer *registrystandin.Server
+	platform       *registry.Client
 	platformURL    string
 	fabric         *standin.Fabric
 	gateway        *standin.Gateway
@@ -69,7 +69,7 @@
 		trial:          t,
 		random:         mathrand.New(mathrand.NewPCG(t.Seed, 3)),
 		fabric:         &standin.Fabric{Lag: fabricLag, Seed: t.Seed},
-		platformServer: &platformstandin.Server{},
+		platformServer: &registrystandin.Server{},
 		flowServers:    make(map[fleet.ServerID]*standin.FlowServer),
 		requestServers: make(map[fleet.ServerID]*standin.RequestServer),
 		samples:        samples{excluded: make(map[fleet.ServerID]bool)},
@@ -94,7 +94,7 @@
 		return err
 	}
 	w.platformURL = "http://" + address.String()
-	w.platform = &platform.Client{URL: w.platformURL}
+	w.platform = &registry.Client{URL: w.platformURL}
 	if w.gatewayAddress, err = w.ports.udp(); err != nil {
 		return err
 	}
