--- /dev/null
+++ b/catalogue/catalogue.go
@@ -0,0 +1,82 @@
+package catalogue
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/rattanthread/rattanthread/fleet"
+)
+
+// Catalogue is what a host knows at one moment. It is immutable.
+type Catalogue struct {
+	// Number counts the catalogues of this process.
+	Number uint64
+	// Configuration is nil while none is known.
+	Configuration *Configuration
+	// Ages of what the catalogue was made from.
+	Confirmed [sourceCount]time.Time
+
+	routes  map[netip.AddrPort]*Route
+	servers map[Cookie]*Server
+	gone    map[Cookie]bool
+	pools   map[fleet.ServiceName][]*Server
+	bound   map[binding]bool
+	count   int
+}
+
+// binding says that a route has sent flows to a service.
+type binding struct {
+	route   netip.AddrPort
+	service fleet.ServiceName
+}
+
+// Route returns the route of an address, or nil.
+func (c *Catalogue) Route(address netip.AddrPort) *Route { return c.routes[address] }
+
+// Server returns the server that a cookie names, or nil.
+func (c *Catalogue) Server(cookie Cookie) *Server { return c.servers[cookie] }
+
+// IsGone reports whether the server that a cookie names is known to have ended.
+func (c *Catalogue) IsGone(cookie Cookie) bool { return c.gone[cookie] }
+
+// Allows reports whether a route sends flows to a service, or has done so
+// since this host started: a configuration leaves open flows where they are.
+func (c *Catalogue) Allows(route netip.AddrPort, service fleet.ServiceName) bool {
+	return c.bound[binding{route, service}]
+}
+
+// Pick returns the service that a new flow goes to, by a hash of the flow.
+func (c *Catalogue) Pick(route *Route, hash uint64) fleet.ServiceName { return route.pick(hash) }
+
+// Pool returns the servers of a service that may get new flows.
+func (c *Catalogue) Pool(service fleet.ServiceName) []*Server { return c.pools[service] }
+
+// Servers returns how many servers are known.
+func (c *Catalogue) Servers() int { return c.count }
+
+// Ready reports whether the catalogue suffices to forward.
+func (c *Catalogue) Ready() bool {
+	return c != nil && c.Configuration != nil && c.count > 0
+}
+
+// uniqueCookies gives each server its cookie. Of two servers with the same one
+// the older keeps it, since only that one can have flows.
+func uniqueCookies(servers []*Server) map[Cookie]*Server {
+	slices.SortFunc(servers, func(a, b *Server) int {
+		return cmp.Or(cmp.Compare(a.Created, b.Created), cmp.Compare(a.ID, b.ID))
+	})
+	named := make(map[Cookie]*Server, len(servers))
+	for i, server := range servers {
+		server.Index = i
+		cookie := CookieOf(server.ID)
+		if named[cookie] != nil {
+			server.Cookie = 0
+			continue
+		}
+		server.Cookie = cookie
+		named[cookie] = server
+	}
+	return named
+}
--- /dev/null
+++ b/catalogue/configuration.go
@@ -0,0 +1,66 @@
+package catalogue
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/rattanthread/rattanthread/fleet"
+)
+
+// Version is a revision of the platform's store. It rises with each change.
+type Version uint64
+
+// Configuration is what operators have put in force.
+type Configuration struct {
+	Number uint64
+	Routes []Route
+	// Services holds what is known of each service, by name.
+	Services map[fleet.ServiceName]Service
+	// IdleTimeout is how long a flow may be idle before it may be discarded.
+	IdleTimeout time.Duration
+}
+
+// Service is what the configuration says of a service.
+type Service struct {
+	Name fleet.ServiceName
+	// Warmup is how long a server bears little load after its start.
+	Warmup time.Duration
+	// ColdRate is how many requests a second a cold server bears. Zero means
+	// that the configuration does not say.
+	ColdRate float64
+}
+
+// Route sends the flows to one address to services.
+type Route struct {
+	Name    string
+	Address netip.AddrPort
+	Shares  []Share
+}
+
+// Share is the part of a route's new flows that goes to a service.
+type Share struct {
+	Service fleet.ServiceName
+	Weight  int
+}
+
+// pick returns the service of a new flow, by a hash of the flow.
+func (r *Route) pick(hash uint64) fleet.ServiceName {
+	if len(r.Shares) == 1 {
+		return r.Shares[0].Service
+	}
+	total := 0
+	for _, share := range r.Shares {
+		total += share.Weight
+	}
+	if total <= 0 {
+		return ""
+	}
+	point := int(hash % uint64(total))
+	for _, share := range r.Shares {
+		if point < share.Weight {
+			return share.Service
+		}
+		point -= share.Weight
+	}
+	return ""
+}
--- /dev/null
+++ b/catalogue/server.go
@@ -0,0 +1,57 @@
+package catalogue
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/rattanthread/rattanthread/fleet"
+)
+
+// Cookie stands for a backend server in the packets of a flow. Both ends of a
+// flow return the last cookie that they received. Zero means none.
+type Cookie uint32
+
+// CookieOf returns the cookie of a server. It depends on the server's id alone,
+// so that every host, also one that has just started, finds the same server.
+func CookieOf(id fleet.ServerID) Cookie {
+	sum := Cookie(xxhash.Sum64String(string(id)))
+	if sum == 0 {
+		return 1
+	}
+	return sum
+}
+
+// Server is a registered backend server. It is immutable once it is part of a
+// Catalogue.
+type Server struct {
+	ID         fleet.ServerID
+	Service    fleet.ServiceName
+	Address    netip.AddrPort
+	DataCentre fleet.DataCentreID
+	// Tag is the number by which a datagram names the server it is meant for.
+	Tag uint64
+	// Slots is how many requests the server works on at once.
+	Slots int
+	// Draining servers finish their flows and get no new ones.
+	Draining bool
+	// Cold is how much longer the server bears little load, counted from the
+	// moment at which this record was received.
+	Cold time.Duration
+	// Started tells two starts under one id apart.
+	Started int64
+	// Created and Changed are the store's revisions of the record.
+	Created, Changed Version
+
+	// WarmAt is when the server can bear full load.
+	WarmAt time.Time
+	// Cookie names the server in packets. Zero if an older server has the same
+	// cookie, in which case this one gets no flow.
+	Cookie Cookie
+	// Index numbers the servers of a catalogue from 0.
+	Index int
+}
+
+// IsCold reports whether the server still bears little load.
+func (s *Server) IsCold(now time.Time) bool { return now.Before(s.WarmAt) }
--- /dev/null
+++ b/catalogue/tracker.go
@@ -0,0 +1,329 @@
+package catalogue
+
+import (
+	"maps"
+	"net/netip"
+	"time"
+
+	"github.com/rattanthread/rattanthread/fleet"
+)
+
+// Source is one kind of record in the platform's store.
+type Source int
+
+// The sources of a catalogue.
+const (
+	Configurations Source = iota
+	Evacuations
+	Servers
+
+	sourceCount
+)
+
+var sourceNames = [...]string{"configurations", "evacuations", "servers"}
+
+// String returns the name of the source in lower case.
+func (s Source) String() string { return sourceNames[s] }
+
+// SourceCount is how many sources there are.
+const SourceCount = int(sourceCount)
+
+// Defaults of a Tracker.
+const (
+	DefaultReturnGrace = 2500 * time.Millisecond
+	DefaultOutage      = 2 * time.Second
+	goneKept           = 90 * time.Second
+)
+
+// Record is one record of a source, or the news that it was removed.
+type Record struct {
+	// Name is the record's name in the store.
+	Name    string
+	Changed Version
+	Removed bool
+	// One of these holds the content, unless it could not be read or the
+	// record is that of a data centre that is taken out.
+	Configuration *Configuration
+	Server        *Server
+}
+
+// Answer is what the store said of one source.
+type Answer struct {
+	Source Source
+	// Whole means that Records are all the records there are.
+	Whole   bool
+	Records []Record
+	// Version is the store's revision of the answer.
+	Version Version
+	// Asked is when the question was sent.
+	Asked time.Time
+}
+
+// Tracker makes catalogues from the store's answers. The zero value is ready
+// for use.
+type Tracker struct {
+	// ReturnGrace is how long servers whose records have lapsed during an
+	// outage of the store are kept after its return. Zero means DefaultReturnGrace.
+	ReturnGrace time.Duration
+	// Outage is how long a source must have been silent for its return to
+	// count as that of the store. Zero means DefaultOutage.
+	Outage time.Duration
+
+	current    *Catalogue
+	number     uint64
+	versions   [sourceCount]Version
+	confirmed  [sourceCount]time.Time
+	listed     [sourceCount]bool
+	graceUntil time.Time
+
+	configuration        *Configuration
+	configurationVersion Version
+	evacuated            map[fleet.DataCentreID]bool
+	servers              map[string]*tracked
+	gone                 map[Cookie]time.Time
+	bound                map[binding]bool
+}
+
+// tracked is a server and what became of its record.
+type tracked struct {
+	server *Server
+	// lapsed is when the record went away; zero while it is there.
+	lapsed time.Time
+}
+
+// Current returns the latest catalogue, or nil before there is one.
+func (t *Tracker) Current() *Catalogue { return t.current }
+
+// Version returns the store's revision up to which a source is known.
+func (t *Tracker) Version(s Source) Version { return t.versions[s] }
+
+// Known reports whether a source has been read in whole.
+func (t *Tracker) Known(s Source) bool { return t.listed[s] }
+
+// Take takes in an answer of the store and reports whether the catalogue has
+// changed. An answer older than what is known changes nothing.
+func (t *Tracker) Take(now time.Time, a Answer) bool {
+	if a.Version < t.versions[a.Source] {
+		return false
+	}
+	t.noteReturn(now, a)
+	t.versions[a.Source] = a.Version
+	t.confirmed[a.Source] = a.Asked
+	t.listed[a.Source] = t.listed[a.Source] || a.Whole
+	changed := t.apply(now, a)
+	changed = t.expire(now) || changed
+	if changed {
+		t.build()
+	}
+	return changed
+}
+
+// Tick removes what has expired and reports whether the catalogue has changed.
+func (t *Tracker) Tick(now time.Time) bool {
+	if !t.expire(now) {
+		return false
+	}
+	t.build()
+	return true
+}
+
+// noteReturn starts the grace for lapsed records when the store is back.
+func (t *Tracker) noteReturn(now time.Time, a Answer) {
+	last := t.confirmed[Servers]
+	if a.Source != Servers || last.IsZero() {
+		return
+	}
+	if now.Sub(last) > or(t.Outage, DefaultOutage) {
+		t.graceUntil = now.Add(or(t.ReturnGrace, DefaultReturnGrace))
+	}
+}
+
+func (t *Tracker) apply(now time.Time, a Answer) bool {
+	switch a.Source {
+	case Configurations:
+		return t.applyConfigurations(a)
+	case Evacuations:
+		return t.applyEvacuations(a)
+	case Servers:
+		return t.applyServers(now, a)
+	}
+	return false
+}
+
+func (t *Tracker) applyConfigurations(a Answer) bool {
+	changed := false
+	for _, record := range a.Records {
+		if record.Configuration == nil || record.Changed <= t.configurationVersion {
+			continue
+		}
+		t.configuration = record.Configuration
+		t.configurationVersion = record.Changed
+		changed = true
+		t.bind()
+	}
+	return changed
+}
+
+// bind remembers the services that routes send flows to.
+func (t *Tracker) bind() {
+	known := make(map[netip.AddrPort]bool, len(t.configuration.Routes))
+	for i := range t.configuration.Routes {
+		known[t.configuration.Routes[i].Address] = true
+	}
+	bound := make(map[binding]bool, len(t.bound))
+	for b := range t.bound {
+		if known[b.route] {
+			bound[b] = true
+		}
+	}
+	for i := range t.configuration.Routes {
+		route := &t.configuration.Routes[i]
+		for _, share := range route.Shares {
+			bound[binding{route.Address, share.Service}] = true
+		}
+	}
+	t.bound = bound
+}
+
+func (t *Tracker) applyEvacuations(a Answer) bool {
+	next := maps.Clone(t.evacuated)
+	if a.Whole || next == nil {
+		next = make(map[fleet.DataCentreID]bool)
+	}
+	for _, record := range a.Records {
+		if record.Removed {
+			delete(next, fleet.DataCentreID(record.Name))
+		} else {
+			next[fleet.DataCentreID(record.Name)] = true
+		}
+	}
+	changed := !maps.Equal(next, t.evacuated)
+	t.evacuated = next
+	return changed || a.Whole
+}
+
+func (t *Tracker) applyServers(now time.Time, a Answer) bool {
+	if t.servers == nil {
+		t.servers = make(map[string]*tracked)
+		t.gone = make(map[Cookie]time.Time)
+	}
+	changed := a.Whole
+	if a.Whole {
+		t.lapseMissing(now, a.Records)
+	}
+	for _, record := range a.Records {
+		changed = t.applyServer(now, record) || changed
+	}
+	return changed
+}
+
+// lapseMissing marks the servers that a whole answer does not name.
+func (t *Tracker) lapseMissing(now time.Time, records []Record) {
+	present := make(map[string]bool, len(records))
+	for _, record := range records {
+		present[record.Name] = true
+	}
+	for name, held := range t.servers {
+		if !present[name] && held.lapsed.IsZero() {
+			held.lapsed = now
+		}
+	}
+}
+
+func (t *Tracker) applyServer(now time.Time, record Record) bool {
+	held := t.servers[record.Name]
+	if held != nil && record.Changed < held.server.Changed {
+		return false
+	}
+	if record.Removed {
+		if held == nil || !held.lapsed.IsZero() {
+			return false
+		}
+		held.lapsed = now
+		return true
+	}
+	if record.Server == nil {
+		return t.applyUnreadable(held, record)
+	}
+	server := *record.Server
+	server.WarmAt = now.Add(server.Cold)
+	t.servers[record.Name] = &tracked{server: &server}
+	delete(t.gone, CookieOf(server.ID))
+	return true
+}
+
+// applyUnreadable takes a server with an unreadable record out of placement. Its
+// flows stay, as the record does not prove that the server has ended.
+func (t *Tracker) applyUnreadable(held *tracked, record Record) bool {
+	if held == nil {
+		return false
+	}
+	server := *held.server
+	server.Draining = true
+	server.Changed = record.Changed
+	t.servers[record.Name] = &tracked{server: &server}
+	return true
+}
+
+// expire removes the servers whose records have lapsed, after the grace if
+// the store has just returned.
+func (t *Tracker) expire(now time.Time) bool {
+	changed := false
+	for name, held := range t.servers {
+		if held.lapsed.IsZero() || now.Before(t.graceUntil) {
+			continue
+		}
+		delete(t.servers, name)
+		t.gone[CookieOf(held.server.ID)] = now
+		changed = true
+	}
+	for cookie, since := range t.gone {
+		if now.Sub(since) > goneKept {
+			delete(t.gone, cookie)
+		}
+	}
+	return changed
+}
+
+// build makes a new catalogue.
+func (t *Tracker) build() {
+	t.number++
+	c := &Catalogue{
+		Number:        t.number,
+		Configuration: t.configuration,
+		Confirmed:     t.confirmed,
+		routes:        make(map[netip.AddrPort]*Route),
+		gone:          make(map[Cookie]bool, len(t.gone)),
+		pools:         make(map[fleet.ServiceName][]*Server),
+		bound:         t.bound,
+		count:         len(t.servers),
+	}
+	if t.configuration != nil {
+		for i := range t.configuration.Routes {
+			route := &t.configuration.Routes[i]
+			c.routes[route.Address] = route
+		}
+	}
+	servers := make([]*Server, 0, len(t.servers))
+	for _, held := range t.servers {
+		server := *held.server
+		servers = append(servers, &server)
+	}
+	c.servers = uniqueCookies(servers)
+	for _, server := range servers {
+		if server.Cookie != 0 && !server.Draining && !t.evacuated[server.DataCentre] {
+			c.pools[server.Service] = append(c.pools[server.Service], server)
+		}
+	}
+	for cookie := range t.gone {
+		c.gone[cookie] = c.servers[cookie] == nil
+	}
+	t.current = c
+}
+
+func or(d, fallback time.Duration) time.Duration {
+	if d == 0 {
+		return fallback
+	}
+	return d
+}
--- a/command/command.go
+++ b/command/command.go
@@ -47,6 +47,7 @@
 		&Status{},
 		&Platform{},
 		&Serve{},
+		&Entry{},
 		&Try{},
 		&Matrix{},
 		&Replay{},
--- /dev/null
+++ b/command/entry.go
@@ -0,0 +1,73 @@
+package command
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/google/subcommands"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/rattanthread/rattanthread/entry"
+)
+
+// Entry runs one entry host on the users' platform.
+type Entry struct {
+	// Err is where messages go; nil means the process's own.
+	Err io.Writer
+
+	settings string
+}
+
+// Name returns the word that calls the command.
+func (*Entry) Name() string { return "entry" }
+
+// Synopsis says what the command does, in a line.
+func (*Entry) Synopsis() string { return "run an entry host on the users' platform" }
+
+// Usage explains the command.
+func (*Entry) Usage() string {
+	return `entry [-settings FILE]:
+  Run one entry host that gets its configuration and its backend servers from
+  the platform's store. The settings file is that of -settings or, without it,
+  the one that the variable RATTANTHREAD_CONFIG names.
+
+  SIGTERM or SIGINT starts a planned stop.
+
+  The exit status is 0 after a stop, 1 when the host could not run, and 2 when
+  the settings are wrong.
+
+`
+}
+
+// SetFlags defines the command's flags.
+func (c *Entry) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.settings, "settings", os.Getenv(entry.SettingsVariable), "the settings file of this host")
+}
+
+// Execute runs the command.
+func (c *Entry) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	errs := orWriter(c.Err, os.Stderr)
+	if c.settings == "" || f.NArg() > 0 {
+		_, _ = fmt.Fprintln(errs, "entry needs -settings FILE or", entry.SettingsVariable, "and takes no other arguments")
+		return subcommands.ExitUsageError
+	}
+	s, err := entry.LoadSettings(c.settings)
+	if err != nil {
+		_, _ = fmt.Fprintln(errs, err)
+		return subcommands.ExitUsageError
+	}
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	logger := hclog.New(&hclog.LoggerOptions{JSONFormat: true, Output: os.Stdout})
+	h := &entry.Host{Settings: s, Logger: logger}
+	if err := h.Run(ctx); err != nil {
+		_, _ = fmt.Fprintln(errs, "entry:", err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
--- /dev/null
+++ b/entry/host.go
@@ -0,0 +1,130 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/rattanthread/rattanthread/catalogue"
+	"github.com/rattanthread/rattanthread/platform"
+)
+
+// lingerTime is how long a stopping host goes on forwarding. The fabric takes a
+// host out after two missed health checks, half a second apart.
+const lingerTime = 1600 * time.Millisecond
+
+// Host is one entry host. Settings and Logger must be set.
+type Host struct {
+	Settings Settings
+	Logger   hclog.Logger
+
+	snapshot atomic.Pointer[snapshot]
+	stopping atomic.Bool
+	answers  chan catalogue.Answer
+}
+
+// snapshot is what the control loop publishes for the other goroutines.
+type snapshot struct {
+	catalogue *catalogue.Catalogue
+	// confirmed is when the configuration was last known to be in force.
+	confirmed time.Time
+}
+
+// Run serves until ctx ends, then stops without cutting a flow: it leaves the
+// rotation first and forwards until the fabric has moved on.
+func (h *Host) Run(ctx context.Context) error {
+	packets, err := h.listenPackets()
+	if err != nil {
+		return errors.Wrap(err, "listen for packets")
+	}
+	readiness, err := net.Listen("tcp4", h.Settings.Listen.Readiness.String())
+	if err != nil {
+		_ = packets.Close()
+		return errors.Wrap(err, "listen for health checks")
+	}
+	h.answers = make(chan catalogue.Answer, catalogue.SourceCount)
+	h.snapshot.Store(&snapshot{})
+	work, stopWork := context.WithCancel(context.Background())
+	defer stopWork()
+	group, work := errgroup.WithContext(work)
+	store := platform.Store{Address: h.Settings.Store.Address.String(), HTTP: newClient()}
+	for source := range catalogue.Source(catalogue.SourceCount) {
+		reader := storeReader{host: h, store: &store, source: source}
+		group.Go(func() error { return reader.run(work) })
+	}
+	group.Go(func() error { return h.control(work) })
+	group.Go(func() error { return h.forward(work, packets) })
+	group.Go(func() error { return h.serveReadiness(work, readiness) })
+	group.Go(func() error {
+		h.awaitStop(ctx, work)
+		stopWork()
+		_ = packets.Close()
+		return nil
+	})
+	return group.Wait()
+}
+
+// awaitStop returns when the host may stop forwarding.
+func (h *Host) awaitStop(ctx, work context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-work.Done():
+		return
+	}
+	h.stopping.Store(true)
+	h.Logger.Info("stopping", "host", h.Settings.Host)
+	timer := time.NewTimer(lingerTime)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-work.Done():
+	}
+}
+
+// control owns the tracker and publishes what it makes of the store's answers.
+func (h *Host) control(ctx context.Context) error {
+	var tracker catalogue.Tracker
+	tick := time.NewTicker(500 * time.Millisecond)
+	defer tick.Stop()
+	var confirmed time.Time
+	for {
+		changed := false
+		select {
+		case <-ctx.Done():
+			return nil
+		case answer := <-h.answers:
+			changed = tracker.Take(time.Now(), answer)
+			if answer.Source == catalogue.Configurations {
+				confirmed = answer.Asked
+			}
+		case now := <-tick.C:
+			changed = tracker.Tick(now)
+		}
+		if changed {
+			h.logCatalogue(tracker.Current())
+		}
+		h.snapshot.Store(&snapshot{catalogue: tracker.Current(), confirmed: confirmed})
+	}
+}
+
+func (h *Host) logCatalogue(c *catalogue.Catalogue) {
+	number := uint64(0)
+	if c.Configuration != nil {
+		number = c.Configuration.Number
+	}
+	h.Logger.Info("catalogue changed", "number", c.Number, "configuration", number, "servers", c.Servers())
+}
+
+func newClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: callTimeout}).DialContext,
+		MaxIdleConnsPerHost: catalogue.SourceCount,
+		DisableCompression:  true,
+	}}
+}
--- /dev/null
+++ b/entry/settings.go
@@ -0,0 +1,99 @@
+package entry
+
+import (
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/rattanthread/rattanthread/declaration"
+	"github.com/rattanthread/rattanthread/fleet"
+)
+
+// SettingsVariable names the environment variable that holds the path of the
+// settings file.
+const SettingsVariable = "RATTANTHREAD_CONFIG"
+
+// Settings are those of one entry host. docs/SETTINGS.md describes every key.
+type Settings struct {
+	Host       fleet.HostID       `toml:"host"`
+	DataCentre fleet.DataCentreID `toml:"data_centre"`
+	Listen     Listen             `toml:"listen"`
+	Store      StoreSettings      `toml:"store"`
+	Bounds     Bounds             `toml:"bounds"`
+}
+
+// Listen holds the addresses of a host.
+type Listen struct {
+	// Packets receives the packets of callers. Packets to callers go to the
+	// same port at their addresses.
+	Packets netip.AddrPort `toml:"packets"`
+	// Readiness answers the health checks of the fabric.
+	Readiness netip.AddrPort `toml:"readiness"`
+}
+
+// StoreSettings tell where the platform's store is.
+type StoreSettings struct {
+	Address netip.AddrPort `toml:"address"`
+}
+
+// Bounds are the times within which the host must act.
+type Bounds struct {
+	// Configuration is the time until a new configuration is in force.
+	Configuration time.Duration `toml:"configuration"`
+	// Drain is the time until a leaving server gets no new flow.
+	Drain time.Duration `toml:"drain"`
+	// Evacuation is the time until a data centre that is out gets no new flow.
+	Evacuation time.Duration `toml:"evacuation"`
+	// Stop is the time that a stopping process has.
+	Stop time.Duration `toml:"stop"`
+}
+
+// Limits of the bounds.
+const (
+	minBound = 500 * time.Millisecond
+	maxBound = 10 * time.Minute
+)
+
+// LoadSettings reads and checks a settings file. The error is
+// declaration.Problems if the file could be read but something in it is wrong.
+func LoadSettings(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, errors.Wrap(err, "load settings")
+	}
+	return ParseSettings(path, data)
+}
+
+// ParseSettings reads and checks settings that are in memory; name stands for
+// the file in errors.
+func ParseSettings(name string, data []byte) (Settings, error) {
+	var s Settings
+	document, problems := declaration.Parse(name, data)
+	if len(problems) > 0 {
+		return s, problems
+	}
+	problems = document.Decode(&s)
+	return s, problems.Merge(s.check(document.Origin())).Err()
+}
+
+func (s *Settings) check(origin declaration.Origin) declaration.Problems {
+	var problems declaration.Problems
+	require := func(key, fault string) {
+		if fault != "" {
+			problems = append(problems, origin.Problem("", key, fault))
+		}
+	}
+	require("host", declaration.NameFault(string(s.Host)))
+	require("data_centre", declaration.NameFault(string(s.DataCentre)))
+	require("listen.packets", declaration.AddressFault(s.Listen.Packets))
+	require("listen.readiness", declaration.AddressFault(s.Listen.Readiness))
+	require("store.address", declaration.AddressFault(s.Store.Address))
+	require("bounds.configuration", declaration.RangeFault(s.Bounds.Configuration, minBound, maxBound))
+	require("bounds.drain", declaration.RangeFault(s.Bounds.Drain, minBound, maxBound))
+	require("bounds.evacuation", declaration.RangeFault(s.Bounds.Evacuation, minBound, maxBound))
+	require("bounds.stop", declaration.RangeFault(s.Bounds.Stop, minBound, maxBound))
+	problems.Sort()
+	return problems
+}
--- /dev/null
+++ b/forwarding/forwarder.go
@@ -0,0 +1,195 @@
+package forwarding
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/rattanthread/rattanthread/catalogue"
+	"github.com/rattanthread/rattanthread/placement"
+)
+
+// Kind is what a packet does to its flow.
+type Kind int
+
+// The kinds of packets of a caller.
+const (
+	// Segment belongs to an open flow.
+	Segment Kind = iota
+	// Opening asks for a new flow.
+	Opening
+	// Reset ends a flow.
+	Reset
+	// Foreign is nothing that a caller sends.
+	Foreign
+)
+
+// Packet is what is decided on.
+type Packet struct {
+	Source, Destination netip.AddrPort
+	Kind                Kind
+	Cookie              catalogue.Cookie
+	Seq, Ack            uint32
+	// Length is that of the data in bytes.
+	Length int
+}
+
+// Action is what becomes of a packet.
+type Action int
+
+// The actions.
+const (
+	Drop Action = iota
+	Forward
+	Refuse
+)
+
+var actionNames = [...]string{"drop", "forward", "reset"}
+
+// String returns the name of the action in snake case.
+func (a Action) String() string { return actionNames[a] }
+
+// Reason says why an action was chosen.
+type Reason int
+
+// The reasons.
+const (
+	Placed Reason = iota
+	PlacedAgain
+	ByCookie
+	NoRoute
+	RouteUnknown
+	NoServer
+	ServerGone
+	ServerUnknown
+	WrongService
+	NotACallers
+	NotReady
+
+	// ReasonCount is how many reasons there are.
+	ReasonCount
+)
+
+var reasonNames = [ReasonCount]string{
+	"placed", "placed_again", "by_cookie", "no_route", "route_unknown", "no_server",
+	"server_gone", "server_unknown", "wrong_service", "not_a_callers", "not_ready",
+}
+
+// String returns the name of the reason in snake case.
+func (r Reason) String() string { return reasonNames[r] }
+
+// Decision is what becomes of a packet, and why.
+type Decision struct {
+	Action Action
+	Reason Reason
+	// Server gets the packet if it is forwarded.
+	Server *catalogue.Server
+	// Raised and Cleared name the server whose suspicion the packet raised or
+	// cleared; zero for none.
+	Raised, Cleared catalogue.Cookie
+}
+
+// DefaultFresh is how recently a configuration must have been confirmed for
+// the lack of a route to be certain.
+const DefaultFresh = 2 * time.Second
+
+// Forwarder decides on packets. It belongs to one goroutine.
+type Forwarder struct {
+	Chooser placement.Chooser
+	// Fresh is how recently the configuration must have been confirmed for a
+	// refusal because of it. Zero means DefaultFresh.
+	Fresh time.Duration
+
+	progress placement.Progress
+}
+
+// Decide decides on a packet by what the host knows.
+func (f *Forwarder) Decide(now time.Time, c *catalogue.Catalogue, confirmed time.Time, p Packet) Decision {
+	if p.Kind == Foreign {
+		return Decision{Reason: NotACallers}
+	}
+	if !c.Ready() {
+		return Decision{Reason: NotReady}
+	}
+	route := c.Route(p.Destination)
+	if route == nil {
+		return f.withoutRoute(now, confirmed, p)
+	}
+	if p.Kind == Opening {
+		return f.open(now, c, route, p)
+	}
+	return f.segment(now, c, p)
+}
+
+// withoutRoute refuses what no route allows, as soon as that is certain.
+func (f *Forwarder) withoutRoute(now, confirmed time.Time, p Packet) Decision {
+	fresh := f.Fresh
+	if fresh == 0 {
+		fresh = DefaultFresh
+	}
+	if p.Kind == Reset || now.Sub(confirmed) > fresh {
+		return Decision{Reason: RouteUnknown}
+	}
+	return Decision{Action: Refuse, Reason: NoRoute}
+}
+
+// open places a new flow.
+func (f *Forwarder) open(now time.Time, c *catalogue.Catalogue, route *catalogue.Route, p Packet) Decision {
+	hash := flowHash(p)
+	pool := c.Pool(c.Pick(route, hash))
+	server := f.Chooser.Choose(now, pool, hash, int(p.Ack))
+	if server == nil {
+		return Decision{Action: Refuse, Reason: NoServer}
+	}
+	d := Decision{Action: Forward, Reason: Placed, Server: server}
+	before := f.progress.Opened(now, hash, server.Cookie)
+	if p.Ack == 0 {
+		return d
+	}
+	d.Reason = PlacedAgain
+	if before != 0 && f.Chooser.Suspects.Repeated(now, before) {
+		d.Raised = before
+	}
+	return d
+}
+
+// segment sends a packet of an open flow to the flow's server.
+func (f *Forwarder) segment(now time.Time, c *catalogue.Catalogue, p Packet) Decision {
+	server := c.Server(p.Cookie)
+	if server == nil {
+		return withoutServer(c, p)
+	}
+	if !c.Allows(p.Destination, server.Service) {
+		return Decision{Reason: WrongService}
+	}
+	d := Decision{Action: Forward, Reason: ByCookie, Server: server}
+	switch f.progress.Seen(now, flowHash(p), p.Cookie, p.Seq, p.Ack, p.Length) {
+	case placement.Repetition:
+		if f.Chooser.Suspects.Repeated(now, p.Cookie) {
+			d.Raised = p.Cookie
+		}
+	case placement.Answer:
+		if f.Chooser.Suspects.Answered(now, p.Cookie) {
+			d.Cleared = p.Cookie
+		}
+	case placement.NoSign:
+	}
+	return d
+}
+
+// withoutServer ends a flow whose server has ended. A cookie that is merely
+// unknown proves nothing.
+func withoutServer(c *catalogue.Catalogue, p Packet) Decision {
+	if c.IsGone(p.Cookie) && p.Kind != Reset {
+		return Decision{Action: Refuse, Reason: ServerGone}
+	}
+	return Decision{Reason: ServerUnknown}
+}
+
+// flowHash is a hash of the flow's addresses and ports.
+func flowHash(p Packet) uint64 {
+	source, destination := p.Source.Addr().As4(), p.Destination.Addr().As4()
+	high := uint64(source[0])<<56 | uint64(source[1])<<48 | uint64(source[2])<<40 | uint64(source[3])<<32 |
+		uint64(destination[0])<<24 | uint64(destination[1])<<16 | uint64(destination[2])<<8 | uint64(destination[3])
+	low := uint64(p.Source.Port())<<16 | uint64(p.Destination.Port())
+	return placement.Hash(high, low)
+}
--- /dev/null
+++ b/placement/chooser.go
@@ -0,0 +1,98 @@
+package placement
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/rattanthread/rattanthread/catalogue"
+	"github.com/rattanthread/rattanthread/fleet"
+)
+
+// MaxCopies is how many copies of an opening packet are told apart: the first
+// and its repetitions.
+const MaxCopies = 3
+
+// Chooser chooses servers for new flows. It belongs to one goroutine.
+type Chooser struct {
+	// DataCentre is that of the host.
+	DataCentre fleet.DataCentreID
+	// Suspects are the servers that do not answer.
+	Suspects Suspects
+}
+
+// Reasons to pass over a server, the gravest highest.
+const (
+	remote = 1 << iota
+	cold
+	suspected
+)
+
+// candidate is a server with the reasons against it and its rank for the flow.
+type candidate struct {
+	server  *catalogue.Server
+	against int
+	score   uint64
+}
+
+func (c candidate) before(other candidate) bool {
+	if c.against != other.against {
+		return c.against < other.against
+	}
+	return c.score > other.score
+}
+
+// Choose returns the server for a copy of the opening packet of a flow, or nil
+// if the pool is empty. Copy 0 is the first; each later copy goes to another
+// server as long as there is one. Hosts with the same catalogue and the same
+// suspicions choose alike.
+func (c *Chooser) Choose(now time.Time, pool []*catalogue.Server, flow uint64, repetition int) *catalogue.Server {
+	var best [MaxCopies]candidate
+	n := 0
+	for _, server := range pool {
+		next := candidate{server: server, against: c.against(now, server), score: Hash(flow, uint64(server.Cookie))}
+		n = insert(&best, n, next)
+	}
+	if n == 0 {
+		return nil
+	}
+	return best[min(repetition, n-1)].server
+}
+
+func (c *Chooser) against(now time.Time, server *catalogue.Server) int {
+	reasons := 0
+	if server.DataCentre != c.DataCentre {
+		reasons |= remote
+	}
+	if server.IsCold(now) {
+		reasons |= cold
+	}
+	if c.Suspects.Suspected(now, server.Cookie) {
+		reasons |= suspected
+	}
+	return reasons
+}
+
+// insert keeps the best candidates in order and returns how many there are.
+func insert(best *[MaxCopies]candidate, n int, next candidate) int {
+	at := n
+	for at > 0 && next.before(best[at-1]) {
+		at--
+	}
+	if at == MaxCopies {
+		return n
+	}
+	n = min(n+1, MaxCopies)
+	copy(best[at+1:n], best[at:n-1])
+	best[at] = next
+	return n
+}
+
+// Hash returns a hash of two values.
+func Hash(a, b uint64) uint64 {
+	var data [16]byte
+	binary.LittleEndian.PutUint64(data[:8], a)
+	binary.LittleEndian.PutUint64(data[8:], b)
+	return xxhash.Sum64(data[:])
+}
