--- a/catalogue/catalogue.go
+++ b/catalogue/catalogue.go
@@ -22,16 +22,9 @@
 	servers map[Cookie]*Server
 	gone    map[Cookie]bool
 	pools   map[fleet.ServiceName][]*Server
-	bound   map[binding]bool
 	count   int
 }
 
-// binding says that a route has sent flows to a service.
-type binding struct {
-	route   netip.AddrPort
-	service fleet.ServiceName
-}
-
 // Route returns the route of an address, or nil.
 func (c *Catalogue) Route(address netip.AddrPort) *Route { return c.routes[address] }
 
@@ -41,12 +34,6 @@
 // IsGone reports whether the server that a cookie names is known to have ended.
 func (c *Catalogue) IsGone(cookie Cookie) bool { return c.gone[cookie] }
 
-// Allows reports whether a route sends flows to a service, or has done so
-// since this host started: a configuration leaves open flows where they are.
-func (c *Catalogue) Allows(route netip.AddrPort, service fleet.ServiceName) bool {
-	return c.bound[binding{route, service}]
-}
-
 // Pick returns the service that a new flow goes to, by a hash of the flow.
 func (c *Catalogue) Pick(route *Route, hash uint64) fleet.ServiceName { return route.pick(hash) }
 
--- a/catalogue/server.go
+++ b/catalogue/server.go
@@ -23,6 +23,16 @@
 	return sum
 }
 
+// On seals a server's cookie for the flows of one route, and opens a sealed one.
+// A flow gets its cookie when it is placed, so a cookie that opens to a server
+// shows that some configuration has sent the route's flows there, also to a host
+// that has never seen that configuration. On another route it opens to nothing.
+func (c Cookie) On(route netip.AddrPort) Cookie {
+	address := route.Addr().As4()
+	data := [6]byte{address[0], address[1], address[2], address[3], byte(route.Port() >> 8), byte(route.Port())}
+	return c ^ Cookie(xxhash.Sum64(data[:]))
+}
+
 // Server is a registered backend server. It is immutable once it is part of a
 // Catalogue.
 type Server struct {
--- a/catalogue/tracker.go
+++ b/catalogue/tracker.go
@@ -81,7 +81,6 @@
 	evacuated            map[fleet.DataCentreID]bool
 	servers              map[string]*tracked
 	gone                 map[Cookie]time.Time
-	bound                map[binding]bool
 }
 
 // tracked is a server and what became of its record.
@@ -159,32 +158,10 @@
 		t.configuration = record.Configuration
 		t.configurationVersion = record.Changed
 		changed = true
-		t.bind()
 	}
 	return changed
 }
 
-// bind remembers the services that routes send flows to.
-func (t *Tracker) bind() {
-	known := make(map[netip.AddrPort]bool, len(t.configuration.Routes))
-	for i := range t.configuration.Routes {
-		known[t.configuration.Routes[i].Address] = true
-	}
-	bound := make(map[binding]bool, len(t.bound))
-	for b := range t.bound {
-		if known[b.route] {
-			bound[b] = true
-		}
-	}
-	for i := range t.configuration.Routes {
-		route := &t.configuration.Routes[i]
-		for _, share := range route.Shares {
-			bound[binding{route.Address, share.Service}] = true
-		}
-	}
-	t.bound = bound
-}
-
 func (t *Tracker) applyEvacuations(a Answer) bool {
 	next := maps.Clone(t.evacuated)
 	if a.Whole || next == nil {
@@ -295,7 +272,6 @@
 		routes:        make(map[netip.AddrPort]*Route),
 		gone:          make(map[Cookie]bool, len(t.gone)),
 		pools:         make(map[fleet.ServiceName][]*Server),
-		bound:         t.bound,
 		count:         len(t.servers),
 	}
 	if t.configuration != nil {
--- a/entry/packets.go
+++ b/entry/packets.go
@@ -8,7 +8,6 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/rattanthread/rattanthread/catalogue"
 	"github.com/rattanthread/rattanthread/forwarding"
 	"github.com/rattanthread/rattanthread/placement"
 	"github.com/rattanthread/rattanthread/platform"
@@ -49,7 +48,7 @@
 		h.logDecision(packet, decision)
 		switch decision.Action {
 		case forwarding.Forward:
-			platform.Address(datagram, decision.Server)
+			platform.Address(datagram, decision.Server.Tag, decision.Cookie)
 			_, _ = conn.WriteToUDPAddrPort(datagram[:platform.TagBytes+n], decision.Server.Address)
 		case forwarding.Refuse:
 			reset = platform.AppendReset(reset[:0], packet)
@@ -66,5 +65,4 @@
 	if d.Raised != 0 {
 		h.Logger.Info("server suspected", "cookie", d.Raised)
 	}
-	_ = catalogue.Cookie(0)
 }
--- a/forwarding/forwarder.go
+++ b/forwarding/forwarder.go
@@ -61,7 +61,6 @@
 	NoServer
 	ServerGone
 	ServerUnknown
-	WrongService
 	NotACallers
 	NotReady
 
@@ -71,7 +70,7 @@
 
 var reasonNames = [ReasonCount]string{
 	"placed", "placed_again", "by_cookie", "no_route", "route_unknown", "no_server",
-	"server_gone", "server_unknown", "wrong_service", "not_a_callers", "not_ready",
+	"server_gone", "server_unknown", "not_a_callers", "not_ready",
 }
 
 // String returns the name of the reason in snake case.
@@ -83,6 +82,8 @@
 	Reason Reason
 	// Server gets the packet if it is forwarded.
 	Server *catalogue.Server
+	// Cookie is what the forwarded packet carries.
+	Cookie catalogue.Cookie
 	// Raised and Cleared name the server whose suspicion the packet raised or
 	// cleared; zero for none.
 	Raised, Cleared catalogue.Cookie
@@ -140,7 +141,7 @@
 	if server == nil {
 		return Decision{Action: Refuse, Reason: NoServer}
 	}
-	d := Decision{Action: Forward, Reason: Placed, Server: server}
+	d := Decision{Action: Forward, Reason: Placed, Server: server, Cookie: server.Cookie.On(p.Destination)}
 	before := f.progress.Opened(now, hash, server.Cookie)
 	if p.Ack == 0 {
 		return d
@@ -154,22 +155,20 @@
 
 // segment sends a packet of an open flow to the flow's server.
 func (f *Forwarder) segment(now time.Time, c *catalogue.Catalogue, p Packet) Decision {
-	server := c.Server(p.Cookie)
+	cookie := p.Cookie.On(p.Destination)
+	server := c.Server(cookie)
 	if server == nil {
-		return withoutServer(c, p)
+		return withoutServer(c, cookie, p)
 	}
-	if !c.Allows(p.Destination, server.Service) {
-		return Decision{Reason: WrongService}
-	}
-	d := Decision{Action: Forward, Reason: ByCookie, Server: server}
-	switch f.progress.Seen(now, flowHash(p), p.Cookie, p.Seq, p.Ack, p.Length) {
+	d := Decision{Action: Forward, Reason: ByCookie, Server: server, Cookie: p.Cookie}
+	switch f.progress.Seen(now, flowHash(p), cookie, p.Seq, p.Ack, p.Length) {
 	case placement.Repetition:
-		if f.Chooser.Suspects.Repeated(now, p.Cookie) {
-			d.Raised = p.Cookie
+		if f.Chooser.Suspects.Repeated(now, cookie) {
+			d.Raised = cookie
 		}
 	case placement.Answer:
-		if f.Chooser.Suspects.Answered(now, p.Cookie) {
-			d.Cleared = p.Cookie
+		if f.Chooser.Suspects.Answered(now, cookie) {
+			d.Cleared = cookie
 		}
 	case placement.NoSign:
 	}
@@ -178,8 +177,8 @@
 
 // withoutServer ends a flow whose server has ended. A cookie that is merely
 // unknown proves nothing.
-func withoutServer(c *catalogue.Catalogue, p Packet) Decision {
-	if c.IsGone(p.Cookie) && p.Kind != Reset {
+func withoutServer(c *catalogue.Catalogue, cookie catalogue.Cookie, p Packet) Decision {
+	if c.IsGone(cookie) && p.Kind != Reset {
 		return Decision{Action: Refuse, Reason: ServerGone}
 	}
 	return Decision{Reason: ServerUnknown}
--- a/placement/progress.go
+++ b/placement/progress.go
@@ -37,6 +37,7 @@
 	server catalogue.Cookie
 	seq    uint32
 	ack    uint32
+	length int
 	sent   time.Time
 }
 
@@ -51,12 +52,12 @@
 // Seen notes a packet of an open flow. Length is that of its data in bytes.
 func (p *Progress) Seen(now time.Time, flow uint64, server catalogue.Cookie, seq, ack uint32, length int) Sign {
 	before := p.take(flow)
-	next := flowState{server: server, seq: seq, ack: ack, sent: now}
+	next := flowState{server: server, seq: seq, ack: ack, length: length, sent: now}
 	sign := NoSign
 	switch {
 	case before.server != server || int32(ack-before.ack) > 0:
 		sign = Answer
-	case length > 0 && seq == before.seq:
+	case length > 0 && before.length > 0 && seq == before.seq:
 		if now.Sub(before.sent) >= repetitionGap {
 			sign = Repetition
 		}
