Reset the flows of servers that have ended or accept no connection

Change: a repeated packet puts its server in doubt. Three connections in 200 ms are tried; if none is accepted the server is unreachable: its flows are reset at once, also the idle ones, and new ones go elsewhere until it accepts again. The flows of a server whose record is gone are reset likewise. Packets that arrive while a host starts wait in the socket for the first catalogue.

Ruled out: resetting on suspicion alone, which ends flows of slow servers.

--- a/catalogue/catalogue.go
+++ b/catalogue/catalogue.go
@@ -34,6 +34,9 @@
 // IsGone reports whether the server that a cookie names is known to have ended.
 func (c *Catalogue) IsGone(cookie Cookie) bool { return c.gone[cookie] }
 
+// Gone returns the cookies of the servers that are known to have ended.
+func (c *Catalogue) Gone() map[Cookie]bool { return c.gone }
+
 // Pick returns the service that a new flow goes to, by a hash of the flow.
 func (c *Catalogue) Pick(route *Route, hash uint64) fleet.ServiceName { return route.pick(hash) }
 
--- a/entry/host.go
+++ b/entry/host.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -12,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/rattanthread/rattanthread/catalogue"
+	"github.com/rattanthread/rattanthread/forwarding"
 	"github.com/rattanthread/rattanthread/platform"
 )
 
@@ -25,8 +27,15 @@
 	Logger   hclog.Logger
 
 	snapshot atomic.Pointer[snapshot]
-	stopping atomic.Bool
-	answers  chan catalogue.Answer
+	packets  *net.UDPConn
+	// mu guards forwarder, which the packet, control and probe goroutines use.
+	mu        sync.Mutex
+	forwarder forwarding.Forwarder
+	probes    chan *catalogue.Server
+	stopping  atomic.Bool
+	// ready is closed at the first catalogue that suffices to forward.
+	ready   chan struct{}
+	answers chan catalogue.Answer
 }
 
 // snapshot is what the control loop publishes for the other goroutines.
@@ -39,15 +48,20 @@
 // Run serves until ctx ends, then stops without cutting a flow: it leaves the
 // rotation first and forwards until the fabric has moved on.
 func (h *Host) Run(ctx context.Context) error {
+	h.Logger.Info("start", "host", h.Settings.Host, "data_centre", h.Settings.DataCentre)
 	packets, err := h.listenPackets()
 	if err != nil {
 		return errors.Wrap(err, "listen for packets")
 	}
+	h.packets = packets
+	h.forwarder.Chooser.DataCentre = h.Settings.DataCentre
+	h.probes = make(chan *catalogue.Server, maxProbes)
 	readiness, err := net.Listen("tcp4", h.Settings.Listen.Readiness.String())
 	if err != nil {
 		_ = packets.Close()
 		return errors.Wrap(err, "listen for health checks")
 	}
+	h.ready = make(chan struct{})
 	h.answers = make(chan catalogue.Answer, catalogue.SourceCount)
 	h.snapshot.Store(&snapshot{})
 	work, stopWork := context.WithCancel(context.Background())
@@ -59,7 +73,8 @@
 		group.Go(func() error { return reader.run(work) })
 	}
 	group.Go(func() error { return h.control(work) })
-	group.Go(func() error { return h.forward(work, packets) })
+	group.Go(func() error { return h.forward(work) })
+	group.Go(func() error { return h.probe(work) })
 	group.Go(func() error { return h.serveReadiness(work, readiness) })
 	group.Go(func() error {
 		h.awaitStop(ctx, work)
@@ -106,10 +121,28 @@
 		case now := <-tick.C:
 			changed = tracker.Tick(now)
 		}
+		before := h.snapshot.Load().catalogue
+		h.snapshot.Store(&snapshot{catalogue: tracker.Current(), confirmed: confirmed})
+		if !before.Ready() && tracker.Current().Ready() {
+			close(h.ready)
+		}
 		if changed {
 			h.logCatalogue(tracker.Current())
+			h.endFlows(before, tracker.Current())
 		}
-		h.snapshot.Store(&snapshot{catalogue: tracker.Current(), confirmed: confirmed})
+	}
+}
+
+// endFlows resets the flows of the servers that have ended since before.
+func (h *Host) endFlows(before, now *catalogue.Catalogue) {
+	for cookie, gone := range now.Gone() {
+		if !gone || (before != nil && before.IsGone(cookie)) {
+			continue
+		}
+		h.mu.Lock()
+		flows := h.forwarder.Ended(cookie)
+		h.mu.Unlock()
+		h.resetFlows(flows, cookie, forwarding.ServerGone)
 	}
 }
 
--- a/entry/packets.go
+++ b/entry/packets.go
@@ -8,13 +8,18 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/rattanthread/rattanthread/catalogue"
 	"github.com/rattanthread/rattanthread/forwarding"
-	"github.com/rattanthread/rattanthread/placement"
 	"github.com/rattanthread/rattanthread/platform"
 )
 
-// receiveBuffer is the room for packets that wait to be read, in bytes.
-const receiveBuffer = 1 << 20
+const (
+	// receiveBuffer is the room for packets that wait to be read, in bytes.
+	receiveBuffer = 1 << 20
+	// startHold is how long packets may wait for the first catalogue. Callers
+	// send an unanswered packet again after 200 ms.
+	startHold = time.Second
+)
 
 func (h *Host) listenPackets() (*net.UDPConn, error) {
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(h.Settings.Listen.Packets))
@@ -26,13 +31,11 @@
 }
 
 // forward decides on each packet until the socket is closed.
-func (h *Host) forward(ctx context.Context, conn *net.UDPConn) error {
-	forwarder := forwarding.Forwarder{Chooser: placement.Chooser{DataCentre: h.Settings.DataCentre}}
+func (h *Host) forward(ctx context.Context) error {
+	h.awaitReady(ctx)
 	datagram := make([]byte, platform.TagBytes+platform.MaxPacketBytes+1)
-	reset := make([]byte, 0, platform.HeaderBytes)
-	port := h.Settings.Listen.Packets.Port()
 	for {
-		n, _, err := conn.ReadFromUDPAddrPort(datagram[platform.TagBytes:])
+		n, _, err := h.packets.ReadFromUDPAddrPort(datagram[platform.TagBytes:])
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -43,26 +46,62 @@
 		if err != nil {
 			continue
 		}
-		known := h.snapshot.Load()
-		decision := forwarder.Decide(time.Now(), known.catalogue, known.confirmed, packet)
-		h.logDecision(packet, decision)
-		switch decision.Action {
-		case forwarding.Forward:
-			platform.Address(datagram, decision.Server.Tag, decision.Cookie)
-			_, _ = conn.WriteToUDPAddrPort(datagram[:platform.TagBytes+n], decision.Server.Address)
-		case forwarding.Refuse:
-			reset = platform.AppendReset(reset[:0], packet)
-			_, _ = conn.WriteToUDPAddrPort(reset, netip.AddrPortFrom(packet.Source.Addr(), port))
-		case forwarding.Drop:
-		}
+		h.act(packet, h.decide(packet), datagram[:platform.TagBytes+n])
 	}
 }
 
-func (h *Host) logDecision(p forwarding.Packet, d forwarding.Decision) {
-	if d.Action == forwarding.Refuse {
+// awaitReady leaves the first packets in the socket until there is a catalogue.
+func (h *Host) awaitReady(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, startHold)
+	defer cancel()
+	select {
+	case <-h.ready:
+	case <-ctx.Done():
+	}
+}
+
+func (h *Host) decide(p forwarding.Packet) forwarding.Decision {
+	known := h.snapshot.Load()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.forwarder.Decide(time.Now(), known.catalogue, known.confirmed, p)
+}
+
+// act carries out a decision. The datagram has room for a tag before the packet.
+func (h *Host) act(p forwarding.Packet, d forwarding.Decision, datagram []byte) {
+	switch d.Action {
+	case forwarding.Forward:
+		platform.Address(datagram, d.Server.Tag, d.Cookie)
+		_, _ = h.packets.WriteToUDPAddrPort(datagram, d.Server.Address)
+	case forwarding.Refuse:
 		h.Logger.Info("reset", "flow", p.Source, "route", p.Destination, "reason", d.Reason.String())
+		h.reset(p)
+	case forwarding.Drop:
 	}
 	if d.Raised != 0 {
 		h.Logger.Info("server suspected", "cookie", d.Raised)
 	}
+	if d.Probe != nil {
+		select {
+		case h.probes <- d.Probe:
+		default:
+		}
+	}
+}
+
+// reset sends the reset that answers a packet to the packet's caller.
+func (h *Host) reset(p forwarding.Packet) {
+	var buffer [platform.HeaderBytes]byte
+	port := h.Settings.Listen.Packets.Port()
+	_, _ = h.packets.WriteToUDPAddrPort(platform.AppendReset(buffer[:0], p), netip.AddrPortFrom(p.Source.Addr(), port))
+}
+
+// resetFlows ends the flows of a server that can't serve them any more.
+func (h *Host) resetFlows(flows []forwarding.Packet, server catalogue.Cookie, reason forwarding.Reason) {
+	for _, p := range flows {
+		h.reset(p)
+	}
+	if len(flows) > 0 {
+		h.Logger.Info("flows reset", "server", server, "flows", len(flows), "reason", reason.String())
+	}
 }
--- /dev/null
+++ b/forwarding/flows.go
@@ -0,0 +1,138 @@
+package forwarding
+
+import (
+	"encoding/binary"
+	"net/netip"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/rattanthread/rattanthread/catalogue"
+)
+
+// Sign is what a packet of a caller shows of its server.
+type Sign int
+
+// The signs. A packet that shows nothing has NoSign.
+const (
+	NoSign Sign = iota
+	// Answer: the caller acknowledges more than before.
+	Answer
+	// Repetition: the caller sends again what the server has not acknowledged.
+	Repetition
+)
+
+// repetitionGap is less than the shortest time after which callers send a
+// packet again, and more than the time between copies made by the network.
+const repetitionGap = 150 * time.Millisecond
+
+// generation is how long a silent flow is remembered, at least.
+const generation = 15 * time.Second
+
+// Flows remembers the last packet of each flow to tell signs from it, and to
+// end the flows of a server that has ended. It is a cache: forwarding needs
+// none of it. The zero value is ready for use. It belongs to one goroutine.
+type Flows struct {
+	young, old map[flowKey]flowState
+	rotated    time.Time
+}
+
+// flowKey is the addresses and ports of a flow, as bytes.
+type flowKey [12]byte
+
+func keyOf(p *Packet) flowKey {
+	var key flowKey
+	source, destination := p.Source.Addr().As4(), p.Destination.Addr().As4()
+	copy(key[0:], source[:])
+	copy(key[4:], destination[:])
+	binary.BigEndian.PutUint16(key[8:], p.Source.Port())
+	binary.BigEndian.PutUint16(key[10:], p.Destination.Port())
+	return key
+}
+
+// hash is the same on all hosts.
+func (k flowKey) hash() uint64 { return xxhash.Sum64(k[:]) }
+
+// packet returns the flow's last packet as far as a reset needs it.
+func (k flowKey) packet(state flowState) Packet {
+	return Packet{
+		Source:      netip.AddrPortFrom(netip.AddrFrom4([4]byte(k[0:])), binary.BigEndian.Uint16(k[8:])),
+		Destination: netip.AddrPortFrom(netip.AddrFrom4([4]byte(k[4:])), binary.BigEndian.Uint16(k[10:])),
+		Ack:         state.ack,
+	}
+}
+
+type flowState struct {
+	server   catalogue.Cookie
+	seq, ack uint32
+	length   int
+	sent     time.Time
+}
+
+// Opened notes that the opening packet of a flow was sent to a server. It
+// returns the server to which the copy before was sent, or zero.
+func (f *Flows) Opened(now time.Time, p *Packet, server catalogue.Cookie) catalogue.Cookie {
+	key := keyOf(p)
+	before := f.take(key)
+	f.put(now, key, flowState{server: server, sent: now})
+	return before.server
+}
+
+// Seen notes a packet of an open flow and returns what it shows.
+func (f *Flows) Seen(now time.Time, p *Packet, server catalogue.Cookie) Sign {
+	key := keyOf(p)
+	before := f.take(key)
+	next := flowState{server: server, seq: p.Seq, ack: p.Ack, length: p.Length, sent: now}
+	sign := NoSign
+	switch {
+	case before.server != server || int32(p.Ack-before.ack) > 0:
+		sign = Answer
+	case p.Length > 0 && before.length > 0 && p.Seq == before.seq:
+		if now.Sub(before.sent) >= repetitionGap {
+			sign = Repetition
+		}
+	case int32(p.Seq-before.seq) < 0:
+		next = before
+	}
+	f.put(now, key, next)
+	return sign
+}
+
+// Ended forgets the flows of a server and returns a packet of each.
+func (f *Flows) Ended(server catalogue.Cookie) []Packet {
+	var ended []Packet
+	for _, flows := range []map[flowKey]flowState{f.young, f.old} {
+		for key, state := range flows {
+			if state.server == server {
+				ended = append(ended, key.packet(state))
+				delete(flows, key)
+			}
+		}
+	}
+	return ended
+}
+
+// Closed forgets a flow.
+func (f *Flows) Closed(p *Packet) {
+	key := keyOf(p)
+	delete(f.young, key)
+	delete(f.old, key)
+}
+
+func (f *Flows) take(key flowKey) flowState {
+	if state, ok := f.young[key]; ok {
+		return state
+	}
+	state := f.old[key]
+	delete(f.old, key)
+	return state
+}
+
+func (f *Flows) put(now time.Time, key flowKey, state flowState) {
+	if f.young == nil || now.Sub(f.rotated) > generation {
+		f.young, f.old = make(map[flowKey]flowState), f.young
+		f.rotated = now
+		delete(f.old, key)
+	}
+	f.young[key] = state
+}
--- /dev/null
+++ b/forwarding/flows_test.go
@@ -0,0 +1,64 @@
+package forwarding_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/rattanthread/rattanthread/forwarding"
+)
+
+// segment is a packet of an open flow and the sign that it should be.
+type segment struct {
+	after    time.Duration
+	seq, ack uint32
+	length   int
+	want     forwarding.Sign
+}
+
+func TestSigns(t *testing.T) {
+	tests := []struct {
+		name     string
+		segments []segment
+	}{
+		{"a request after a bare acknowledgement is no repetition", []segment{
+			{0, 100, 1, 200, forwarding.Answer},
+			{20 * time.Millisecond, 300, 900, 0, forwarding.Answer},
+			{time.Second, 300, 900, 200, forwarding.NoSign},
+		}},
+		{"the same data after 200 ms is a repetition", []segment{
+			{0, 100, 1, 200, forwarding.Answer},
+			{200 * time.Millisecond, 100, 1, 200, forwarding.Repetition},
+			{400 * time.Millisecond, 100, 1, 200, forwarding.Repetition},
+		}},
+		{"a copy made by the network is no repetition", []segment{
+			{0, 100, 1, 200, forwarding.Answer},
+			{time.Millisecond, 100, 1, 200, forwarding.NoSign},
+		}},
+		{"an acknowledgement that advances is an answer", []segment{
+			{0, 100, 1, 200, forwarding.Answer},
+			{200 * time.Millisecond, 100, 1, 200, forwarding.Repetition},
+			{10 * time.Millisecond, 300, 2, 0, forwarding.Answer},
+		}},
+		{"an old packet shows nothing", []segment{
+			{0, 300, 5, 200, forwarding.Answer},
+			{200 * time.Millisecond, 100, 5, 200, forwarding.NoSign},
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			var f forwarding.Flows
+			now := start
+			p := opening()
+			f.Opened(now, &p, 3)
+			f.Seen(now, &p, 3)
+			for _, s := range test.segments {
+				now = now.Add(s.after)
+				p.Seq, p.Ack, p.Length = s.seq, s.ack, s.length
+				is.Equal(f.Seen(now, &p, 3), s.want)
+			}
+		})
+	}
+}
--- a/forwarding/forwarder.go
+++ b/forwarding/forwarder.go
@@ -60,6 +60,7 @@
 	RouteUnknown
 	NoServer
 	ServerGone
+	ServerUnreachable
 	ServerUnknown
 	NotACallers
 	NotReady
@@ -70,7 +71,7 @@
 
 var reasonNames = [ReasonCount]string{
 	"placed", "placed_again", "by_cookie", "no_route", "route_unknown", "no_server",
-	"server_gone", "server_unknown", "not_a_callers", "not_ready",
+	"server_gone", "server_unreachable", "server_unknown", "not_a_callers", "not_ready",
 }
 
 // String returns the name of the reason in snake case.
@@ -84,6 +85,8 @@
 	Server *catalogue.Server
 	// Cookie is what the forwarded packet carries.
 	Cookie catalogue.Cookie
+	// Probe is a server that may have ended, which should be probed now.
+	Probe *catalogue.Server
 	// Raised and Cleared name the server whose suspicion the packet raised or
 	// cleared; zero for none.
 	Raised, Cleared catalogue.Cookie
@@ -100,7 +103,7 @@
 	// refusal because of it. Zero means DefaultFresh.
 	Fresh time.Duration
 
-	progress placement.Progress
+	flows Flows
 }
 
 // Decide decides on a packet by what the host knows.
@@ -135,20 +138,16 @@
 
 // open places a new flow.
 func (f *Forwarder) open(now time.Time, c *catalogue.Catalogue, route *catalogue.Route, p Packet) Decision {
-	hash := flowHash(p)
-	pool := c.Pool(c.Pick(route, hash))
-	server := f.Chooser.Choose(now, pool, hash, int(p.Ack))
+	hash := keyOf(&p).hash()
+	server := f.Chooser.Choose(now, c.Pool(c.Pick(route, hash)), hash, int(p.Ack))
 	if server == nil {
 		return Decision{Action: Refuse, Reason: NoServer}
 	}
 	d := Decision{Action: Forward, Reason: Placed, Server: server, Cookie: server.Cookie.On(p.Destination)}
-	before := f.progress.Opened(now, hash, server.Cookie)
-	if p.Ack == 0 {
-		return d
-	}
-	d.Reason = PlacedAgain
-	if before != 0 && f.Chooser.Suspects.Repeated(now, before) {
-		d.Raised = before
+	before := f.flows.Opened(now, &p, server.Cookie)
+	if p.Ack > 0 {
+		d.Reason = PlacedAgain
+		f.repeated(now, c, before, &d)
 	}
 	return d
 }
@@ -160,21 +159,57 @@
 	if server == nil {
 		return withoutServer(c, cookie, p)
 	}
+	if f.Chooser.Reach.Unreachable(cookie) && p.Kind == Segment {
+		f.flows.Closed(&p)
+		return Decision{Action: Refuse, Reason: ServerUnreachable, Server: server}
+	}
 	d := Decision{Action: Forward, Reason: ByCookie, Server: server, Cookie: p.Cookie}
-	switch f.progress.Seen(now, flowHash(p), cookie, p.Seq, p.Ack, p.Length) {
-	case placement.Repetition:
-		if f.Chooser.Suspects.Repeated(now, cookie) {
-			d.Raised = cookie
-		}
-	case placement.Answer:
+	if p.Kind == Reset {
+		f.flows.Closed(&p)
+		return d
+	}
+	switch f.flows.Seen(now, &p, cookie) {
+	case Repetition:
+		f.repeated(now, c, cookie, &d)
+	case Answer:
 		if f.Chooser.Suspects.Answered(now, cookie) {
 			d.Cleared = cookie
 		}
-	case placement.NoSign:
+	case NoSign:
 	}
 	return d
 }
 
+// repeated notes that a server has not answered a packet in time.
+func (f *Forwarder) repeated(now time.Time, c *catalogue.Catalogue, cookie catalogue.Cookie, d *Decision) {
+	server := c.Server(cookie)
+	if server == nil {
+		return
+	}
+	if f.Chooser.Suspects.Repeated(now, cookie) {
+		d.Raised = cookie
+	}
+	if f.Chooser.Reach.Doubt(cookie) {
+		d.Probe = server
+	}
+}
+
+// Probed takes in whether a server accepts connections. It returns a packet of
+// each flow to reset, if the server has turned out not to.
+func (f *Forwarder) Probed(server catalogue.Cookie, reachable bool) []Packet {
+	if !f.Chooser.Reach.Probed(server, reachable) {
+		return nil
+	}
+	return f.flows.Ended(server)
+}
+
+// Ended takes in that a server has ended. It returns a packet of each flow to
+// reset.
+func (f *Forwarder) Ended(server catalogue.Cookie) []Packet {
+	f.Chooser.Reach.Forget(server)
+	return f.flows.Ended(server)
+}
+
 // withoutServer ends a flow whose server has ended. A cookie that is merely
 // unknown proves nothing.
 func withoutServer(c *catalogue.Catalogue, cookie catalogue.Cookie, p Packet) Decision {
@@ -183,12 +218,3 @@
 	}
 	return Decision{Reason: ServerUnknown}
 }
-
-// flowHash is a hash of the flow's addresses and ports.
-func flowHash(p Packet) uint64 {
-	source, destination := p.Source.Addr().As4(), p.Destination.Addr().As4()
-	high := uint64(source[0])<<56 | uint64(source[1])<<48 | uint64(source[2])<<40 | uint64(source[3])<<32 |
-		uint64(destination[0])<<24 | uint64(destination[1])<<16 | uint64(destination[2])<<8 | uint64(destination[3])
-	low := uint64(p.Source.Port())<<16 | uint64(p.Destination.Port())
-	return placement.Hash(high, low)
-}
--- a/placement/chooser.go
+++ b/placement/chooser.go
@@ -20,6 +20,8 @@
 	DataCentre fleet.DataCentreID
 	// Suspects are the servers that do not answer.
 	Suspects Suspects
+	// Reach holds the servers that accept no connection.
+	Reach Reach
 }
 
 // Reasons to pass over a server, the gravest highest.
@@ -27,6 +29,7 @@
 	remote = 1 << iota
 	cold
 	suspected
+	unreached
 )
 
 // candidate is a server with the reasons against it and its rank for the flow.
@@ -51,7 +54,7 @@
 	var best [MaxCopies]candidate
 	n := 0
 	for _, server := range pool {
-		next := candidate{server: server, against: c.against(now, server), score: Hash(flow, uint64(server.Cookie))}
+		next := candidate{server: server, against: c.against(now, server), score: score(flow, server.Cookie)}
 		n = insert(&best, n, next)
 	}
 	if n == 0 {
@@ -71,6 +74,9 @@
 	if c.Suspects.Suspected(now, server.Cookie) {
 		reasons |= suspected
 	}
+	if c.Reach.Unreachable(server.Cookie) {
+		reasons |= unreached
+	}
 	return reasons
 }
 
@@ -89,10 +95,10 @@
 	return n
 }
 
-// Hash returns a hash of two values.
-func Hash(a, b uint64) uint64 {
-	var data [16]byte
-	binary.LittleEndian.PutUint64(data[:8], a)
-	binary.LittleEndian.PutUint64(data[8:], b)
+// score ranks a server for a flow by rendezvous hashing.
+func score(flow uint64, server catalogue.Cookie) uint64 {
+	var data [12]byte
+	binary.LittleEndian.PutUint64(data[:8], flow)
+	binary.LittleEndian.PutUint32(data[8:], uint32(server))
 	return xxhash.Sum64(data[:])
 }
