Place a caller's next try on another server after a refused opening

Cause: a crashed server whose host is up refuses each opening packet at once.

Change: an opening that is followed by another from the same caller on the same route, without the first having opened, counts as failed. The next goes to another server, and the first server is probed; two refused connections show that it has ended. The changes that a host believes are logged one by one.

--- a/catalogue/tracker.go
+++ b/catalogue/tracker.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/rattanthread/rattanthread/fleet"
@@ -59,6 +60,43 @@
 	Asked time.Time
 }
 
+// Change is one thing that a Tracker believes since an answer.
+type Change struct {
+	Kind ChangeKind
+	// Name is that of the server, the data centre or the configuration.
+	Name string
+	// Cookie is that of the server.
+	Cookie Cookie
+	// Version is the store's revision that brought the change; zero if time did.
+	Version Version
+	// Number is that of the configuration.
+	Number uint64
+}
+
+// ChangeKind says what has changed.
+type ChangeKind int
+
+// The kinds of changes.
+const (
+	ServerAdded ChangeKind = iota
+	ServerRestarted
+	ServerDraining
+	ServerUnreadable
+	ServerLapsed
+	ServerEnded
+	ConfigurationInForce
+	DataCentreOut
+	DataCentreIn
+)
+
+var changeNames = [...]string{
+	"server_added", "server_restarted", "server_draining", "server_unreadable", "server_lapsed",
+	"server_ended", "configuration_in_force", "data_centre_out", "data_centre_in",
+}
+
+// String returns the name of the kind in snake case.
+func (k ChangeKind) String() string { return changeNames[k] }
+
 // Tracker makes catalogues from the store's answers. The zero value is ready
 // for use.
 type Tracker struct {
@@ -70,6 +108,7 @@
 	Outage time.Duration
 
 	current    *Catalogue
+	changes    []Change
 	number     uint64
 	versions   [sourceCount]Version
 	confirmed  [sourceCount]time.Time
@@ -117,6 +156,15 @@
 	return changed
 }
 
+// Changes returns what has changed since the last call.
+func (t *Tracker) Changes() []Change {
+	changes := t.changes
+	t.changes = nil
+	return changes
+}
+
+func (t *Tracker) note(c Change) { t.changes = append(t.changes, c) }
+
 // Tick removes what has expired and reports whether the catalogue has changed.
 func (t *Tracker) Tick(now time.Time) bool {
 	if !t.expire(now) {
@@ -157,6 +205,7 @@
 		}
 		t.configuration = record.Configuration
 		t.configurationVersion = record.Changed
+		t.note(Change{Kind: ConfigurationInForce, Name: record.Name, Version: record.Changed, Number: t.configuration.Number})
 		changed = true
 	}
 	return changed
@@ -174,11 +223,25 @@
 			next[fleet.DataCentreID(record.Name)] = true
 		}
 	}
+	t.noteEvacuations(next, a.Version)
 	changed := !maps.Equal(next, t.evacuated)
 	t.evacuated = next
 	return changed || a.Whole
 }
 
+func (t *Tracker) noteEvacuations(next map[fleet.DataCentreID]bool, version Version) {
+	for _, id := range slices.Sorted(maps.Keys(next)) {
+		if !t.evacuated[id] {
+			t.note(Change{Kind: DataCentreOut, Name: string(id), Version: version})
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(t.evacuated)) {
+		if !next[id] {
+			t.note(Change{Kind: DataCentreIn, Name: string(id), Version: version})
+		}
+	}
+}
+
 func (t *Tracker) applyServers(now time.Time, a Answer) bool {
 	if t.servers == nil {
 		t.servers = make(map[string]*tracked)
@@ -186,7 +249,7 @@
 	}
 	changed := a.Whole
 	if a.Whole {
-		t.lapseMissing(now, a.Records)
+		t.lapseMissing(now, a.Records, a.Version)
 	}
 	for _, record := range a.Records {
 		changed = t.applyServer(now, record) || changed
@@ -195,14 +258,14 @@
 }
 
 // lapseMissing marks the servers that a whole answer does not name.
-func (t *Tracker) lapseMissing(now time.Time, records []Record) {
+func (t *Tracker) lapseMissing(now time.Time, records []Record, version Version) {
 	present := make(map[string]bool, len(records))
 	for _, record := range records {
 		present[record.Name] = true
 	}
 	for name, held := range t.servers {
 		if !present[name] && held.lapsed.IsZero() {
-			held.lapsed = now
+			t.lapse(now, held, version)
 		}
 	}
 }
@@ -216,7 +279,7 @@
 		if held == nil || !held.lapsed.IsZero() {
 			return false
 		}
-		held.lapsed = now
+		t.lapse(now, held, record.Changed)
 		return true
 	}
 	if record.Server == nil {
@@ -224,11 +287,34 @@
 	}
 	server := *record.Server
 	server.WarmAt = now.Add(server.Cold)
+	t.noteServer(held, &server)
 	t.servers[record.Name] = &tracked{server: &server}
 	delete(t.gone, CookieOf(server.ID))
 	return true
 }
 
+// lapse notes that the record of a server is no longer there.
+func (t *Tracker) lapse(now time.Time, held *tracked, version Version) {
+	held.lapsed = now
+	t.noteAbout(ServerLapsed, held.server, version)
+}
+
+func (t *Tracker) noteAbout(kind ChangeKind, server *Server, version Version) {
+	t.note(Change{Kind: kind, Name: string(server.ID), Cookie: CookieOf(server.ID), Version: version})
+}
+
+// noteServer notes what a new record of a server changes.
+func (t *Tracker) noteServer(held *tracked, server *Server) {
+	switch {
+	case held == nil || !held.lapsed.IsZero():
+		t.noteAbout(ServerAdded, server, server.Changed)
+	case held.server.Started != server.Started:
+		t.noteAbout(ServerRestarted, server, server.Changed)
+	case server.Draining && !held.server.Draining:
+		t.noteAbout(ServerDraining, server, server.Changed)
+	}
+}
+
 // applyUnreadable takes a server with an unreadable record out of placement. Its
 // flows stay, as the record does not prove that the server has ended.
 func (t *Tracker) applyUnreadable(held *tracked, record Record) bool {
@@ -238,6 +324,7 @@
 	server := *held.server
 	server.Draining = true
 	server.Changed = record.Changed
+	t.noteAbout(ServerUnreadable, &server, record.Changed)
 	t.servers[record.Name] = &tracked{server: &server}
 	return true
 }
@@ -252,6 +339,7 @@
 		}
 		delete(t.servers, name)
 		t.gone[CookieOf(held.server.ID)] = now
+		t.noteAbout(ServerEnded, held.server, 0)
 		changed = true
 	}
 	for cookie, since := range t.gone {
--- a/entry/host.go
+++ b/entry/host.go
@@ -127,7 +127,7 @@
 			close(h.ready)
 		}
 		if changed {
-			h.logCatalogue(tracker.Current())
+			h.logChanges(tracker.Changes(), tracker.Current())
 			h.endFlows(before, tracker.Current())
 		}
 	}
@@ -146,12 +146,12 @@
 	}
 }
 
-func (h *Host) logCatalogue(c *catalogue.Catalogue) {
-	number := uint64(0)
-	if c.Configuration != nil {
-		number = c.Configuration.Number
+// logChanges writes a line for each change of what the host believes.
+func (h *Host) logChanges(changes []catalogue.Change, c *catalogue.Catalogue) {
+	for _, change := range changes {
+		h.Logger.Info(change.Kind.String(), "name", change.Name, "cookie", change.Cookie, "version", change.Version,
+			"configuration", change.Number, "catalogue", c.Number, "servers", c.Servers())
 	}
-	h.Logger.Info("catalogue changed", "number", c.Number, "configuration", number, "servers", c.Servers())
 }
 
 func newClient() *http.Client {
--- a/entry/probe.go
+++ b/entry/probe.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"syscall"
 	"time"
 
 	"github.com/rattanthread/rattanthread/catalogue"
@@ -15,6 +17,8 @@
 	// probeAttempts is how many connections are tried, probeGap apart.
 	probeAttempts = 3
 	probeGap      = 50 * time.Millisecond
+	// maxRefused is how many refused connections show that a server has ended.
+	maxRefused = 2
 	// probeTime is how long a server has to accept one of them.
 	probeTime = 200 * time.Millisecond
 	// probePause is the time between probes of a server that is unreachable.
@@ -62,29 +66,46 @@
 }
 
 // accepts reports whether a server accepts a connection. Several are tried, as
-// one packet may be lost.
+// one packet may be lost; a host that refuses two has no server.
 func accepts(ctx context.Context, server *catalogue.Server) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTime)
 	defer cancel()
-	accepted := make(chan struct{}, probeAttempts)
-	for range probeAttempts {
-		go func() {
-			conn, err := (&net.Dialer{}).DialContext(ctx, "tcp4", server.Address.String())
+	results := make(chan error, probeAttempts)
+	next := time.NewTicker(probeGap)
+	defer next.Stop()
+	tried, refused := 0, 0
+	try := func() {
+		if tried < probeAttempts {
+			tried++
+			go func() { results <- connect(ctx, server) }()
+		}
+	}
+	try()
+	for {
+		select {
+		case err := <-results:
 			if err == nil {
-				_ = conn.Close()
-				accepted <- struct{}{}
+				return true
 			}
-		}()
-		select {
-		case <-accepted:
-			return true
-		case <-time.After(probeGap):
+			if errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) {
+				refused++
+			}
+			if refused == maxRefused {
+				return false
+			}
+			try()
+		case <-next.C:
+			try()
+		case <-ctx.Done():
+			return false
 		}
 	}
-	select {
-	case <-accepted:
-		return true
-	case <-ctx.Done():
-		return false
+}
+
+func connect(ctx context.Context, server *catalogue.Server) error {
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp4", server.Address.String())
+	if err != nil {
+		return err
 	}
+	return conn.Close()
 }
--- a/forwarding/flows.go
+++ b/forwarding/flows.go
@@ -35,8 +35,28 @@
 type Flows struct {
 	young, old map[flowKey]flowState
 	rotated    time.Time
+	// attempts holds the latest opening of each caller on each route.
+	attempts map[callerKey]attempt
 }
 
+// callerKey is a caller and a route: a flow's addresses without the caller's port.
+type callerKey [10]byte
+
+// attempt is an opening whose flow is not known to be open.
+type attempt struct {
+	flow   flowKey
+	server catalogue.Cookie
+	at     time.Time
+	// tries counts the openings that failed in a row, with this one.
+	tries int
+}
+
+// Bounds of the time between an opening that was refused and the next try.
+const (
+	minRetry = 2 * time.Millisecond
+	maxRetry = time.Second
+)
+
 // flowKey is the addresses and ports of a flow, as bytes.
 type flowKey [12]byte
 
@@ -62,20 +82,44 @@
 	}
 }
 
+func (k flowKey) caller() callerKey {
+	var c callerKey
+	copy(c[:8], k[:8])
+	copy(c[8:], k[10:])
+	return c
+}
+
 type flowState struct {
+	// opening is set until a packet shows that the flow is open.
+	opening  bool
 	server   catalogue.Cookie
 	seq, ack uint32
 	length   int
 	sent     time.Time
 }
 
-// Opened notes that the opening packet of a flow was sent to a server. It
-// returns the server to which the copy before was sent, or zero.
-func (f *Flows) Opened(now time.Time, p *Packet, server catalogue.Cookie) catalogue.Cookie {
+// Failed returns how many openings of a flow's caller have failed in a row just
+// before it, and the server of the last one. Copies of an opening packet count,
+// and so does a flow that was refused and is tried again from another port.
+func (f *Flows) Failed(now time.Time, p *Packet) (int, catalogue.Cookie) {
 	key := keyOf(p)
-	before := f.take(key)
-	f.put(now, key, flowState{server: server, sent: now})
-	return before.server
+	before, ok := f.attempts[key.caller()]
+	if !ok {
+		return 0, 0
+	}
+	since := now.Sub(before.at)
+	if before.flow == key && p.Ack > 0 || since >= minRetry && since <= maxRetry {
+		return before.tries, before.server
+	}
+	return 0, 0
+}
+
+// Opened notes that the opening packet of a flow was sent to a server, after a
+// number of failed tries.
+func (f *Flows) Opened(now time.Time, p *Packet, server catalogue.Cookie, failed int) {
+	key := keyOf(p)
+	f.put(now, key, flowState{opening: true, server: server, sent: now})
+	f.attempts[key.caller()] = attempt{flow: key, server: server, at: now, tries: failed + 1}
 }
 
 // Seen notes a packet of an open flow and returns what it shows.
@@ -85,7 +129,10 @@
 	next := flowState{server: server, seq: p.Seq, ack: p.Ack, length: p.Length, sent: now}
 	sign := NoSign
 	switch {
-	case before.server != server || int32(p.Ack-before.ack) > 0:
+	case before.opening || before.server != server:
+		sign = Answer
+		f.completed(key)
+	case int32(p.Ack-before.ack) > 0:
 		sign = Answer
 	case p.Length > 0 && before.length > 0 && p.Seq == before.seq:
 		if now.Sub(before.sent) >= repetitionGap {
@@ -98,6 +145,13 @@
 	return sign
 }
 
+// completed notes that a flow is open.
+func (f *Flows) completed(key flowKey) {
+	if f.attempts[key.caller()].flow == key {
+		delete(f.attempts, key.caller())
+	}
+}
+
 // Ended forgets the flows of a server and returns a packet of each.
 func (f *Flows) Ended(server catalogue.Cookie) []Packet {
 	var ended []Packet
@@ -131,6 +185,7 @@
 func (f *Flows) put(now time.Time, key flowKey, state flowState) {
 	if f.young == nil || now.Sub(f.rotated) > generation {
 		f.young, f.old = make(map[flowKey]flowState), f.young
+		f.attempts = make(map[callerKey]attempt)
 		f.rotated = now
 		delete(f.old, key)
 	}
--- a/forwarding/flows_test.go
+++ b/forwarding/flows_test.go
@@ -52,7 +52,7 @@
 			var f forwarding.Flows
 			now := start
 			p := opening()
-			f.Opened(now, &p, 3)
+			f.Opened(now, &p, 3, 0)
 			f.Seen(now, &p, 3)
 			for _, s := range test.segments {
 				now = now.Add(s.after)
--- a/forwarding/forwarder.go
+++ b/forwarding/forwarder.go
@@ -17,6 +17,8 @@
 	Segment Kind = iota
 	// Opening asks for a new flow.
 	Opening
+	// Closing says that the caller sends no more.
+	Closing
 	// Reset ends a flow.
 	Reset
 	// Foreign is nothing that a caller sends.
@@ -139,13 +141,14 @@
 // open places a new flow.
 func (f *Forwarder) open(now time.Time, c *catalogue.Catalogue, route *catalogue.Route, p Packet) Decision {
 	hash := keyOf(&p).hash()
-	server := f.Chooser.Choose(now, c.Pool(c.Pick(route, hash)), hash, int(p.Ack))
+	failed, before := f.flows.Failed(now, &p)
+	server := f.Chooser.Choose(now, c.Pool(c.Pick(route, hash)), hash, max(failed, int(p.Ack)), before)
 	if server == nil {
 		return Decision{Action: Refuse, Reason: NoServer}
 	}
 	d := Decision{Action: Forward, Reason: Placed, Server: server, Cookie: server.Cookie.On(p.Destination)}
-	before := f.flows.Opened(now, &p, server.Cookie)
-	if p.Ack > 0 {
+	f.flows.Opened(now, &p, server.Cookie, failed)
+	if failed > 0 {
 		d.Reason = PlacedAgain
 		f.repeated(now, c, before, &d)
 	}
@@ -159,7 +162,7 @@
 	if server == nil {
 		return withoutServer(c, cookie, p)
 	}
-	if f.Chooser.Reach.Unreachable(cookie) && p.Kind == Segment {
+	if f.Chooser.Reach.Unreachable(cookie) && p.Kind != Reset {
 		f.flows.Closed(&p)
 		return Decision{Action: Refuse, Reason: ServerUnreachable, Server: server}
 	}
--- a/placement/chooser.go
+++ b/placement/chooser.go
@@ -10,9 +10,8 @@
 	"github.com/rattanthread/rattanthread/fleet"
 )
 
-// MaxCopies is how many copies of an opening packet are told apart: the first
-// and its repetitions.
-const MaxCopies = 3
+// maxTries is how many tries to open a flow are told apart.
+const maxTries = 3
 
 // Chooser chooses servers for new flows. It belongs to one goroutine.
 type Chooser struct {
@@ -46,21 +45,24 @@
 	return c.score > other.score
 }
 
-// Choose returns the server for a copy of the opening packet of a flow, or nil
-// if the pool is empty. Copy 0 is the first; each later copy goes to another
-// server as long as there is one. Hosts with the same catalogue and the same
-// suspicions choose alike.
-func (c *Chooser) Choose(now time.Time, pool []*catalogue.Server, flow uint64, repetition int) *catalogue.Server {
-	var best [MaxCopies]candidate
+// Choose returns the server for a new flow, or nil if the pool is empty. After
+// failed tries each goes to another server, as long as there is one, and not to
+// the one that failed last. Hosts with the same catalogue and the same suspicions
+// choose alike.
+func (c *Chooser) Choose(now time.Time, pool []*catalogue.Server, flow uint64, failed int, last catalogue.Cookie) *catalogue.Server {
+	var best [maxTries]candidate
 	n := 0
 	for _, server := range pool {
 		next := candidate{server: server, against: c.against(now, server), score: score(flow, server.Cookie)}
+		if server.Cookie == last {
+			next.against |= unreached
+		}
 		n = insert(&best, n, next)
 	}
 	if n == 0 {
 		return nil
 	}
-	return best[min(repetition, n-1)].server
+	return best[min(failed, n-1)].server
 }
 
 func (c *Chooser) against(now time.Time, server *catalogue.Server) int {
@@ -81,15 +83,15 @@
 }
 
 // insert keeps the best candidates in order and returns how many there are.
-func insert(best *[MaxCopies]candidate, n int, next candidate) int {
+func insert(best *[maxTries]candidate, n int, next candidate) int {
 	at := n
 	for at > 0 && next.before(best[at-1]) {
 		at--
 	}
-	if at == MaxCopies {
+	if at == maxTries {
 		return n
 	}
-	n = min(n+1, MaxCopies)
+	n = min(n+1, maxTries)
 	copy(best[at+1:n], best[at:n-1])
 	best[at] = next
 	return n
