--- a/command/command.go
+++ b/command/command.go
@@ -19,6 +19,7 @@
 	"github.com/google/subcommands"
 
 	"github.com/rattanthread/rattanthread/config"
+	"github.com/rattanthread/rattanthread/entry"
 	"github.com/rattanthread/rattanthread/registry"
 )
 
@@ -47,7 +48,7 @@
 		&Status{},
 		&Platform{},
 		&Serve{},
-		&Entry{},
+		&entry.Command{},
 		&Try{},
 		&Matrix{},
 		&Replay{},
--- a/command/entry.go
+++ b/entry/command.go
@@ -1,4 +1,4 @@
-package command
+package entry
 
 import (
 	"context"
@@ -11,12 +11,10 @@
 
 	"github.com/google/subcommands"
 	"github.com/hashicorp/go-hclog"
-
-	"github.com/rattanthread/rattanthread/entry"
 )
 
-// Entry runs one entry host on the users' platform.
-type Entry struct {
+// Command runs one entry host on the users' platform.
+type Command struct {
 	// Err is where messages go; nil means the process's own.
 	Err io.Writer
 
@@ -24,13 +22,13 @@
 }
 
 // Name returns the word that calls the command.
-func (*Entry) Name() string { return "entry" }
+func (*Command) Name() string { return "entry" }
 
 // Synopsis says what the command does, in a line.
-func (*Entry) Synopsis() string { return "run an entry host on the users' platform" }
+func (*Command) Synopsis() string { return "run an entry host on the users' platform" }
 
 // Usage explains the command.
-func (*Entry) Usage() string {
+func (*Command) Usage() string {
 	return `entry [-settings FILE]:
   Run one entry host that gets its configuration and its backend servers from
   the platform's store. The settings file is that of -settings or, without it,
@@ -45,18 +43,18 @@
 }
 
 // SetFlags defines the command's flags.
-func (c *Entry) SetFlags(f *flag.FlagSet) {
-	f.StringVar(&c.settings, "settings", os.Getenv(entry.SettingsVariable), "the settings file of this host")
+func (c *Command) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.settings, "settings", os.Getenv(SettingsVariable), "the settings file of this host")
 }
 
 // Execute runs the command.
-func (c *Entry) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	errs := orWriter(c.Err, os.Stderr)
+func (c *Command) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	errs := c.errs()
 	if c.settings == "" || f.NArg() > 0 {
-		_, _ = fmt.Fprintln(errs, "entry needs -settings FILE or", entry.SettingsVariable, "and takes no other arguments")
+		_, _ = fmt.Fprintln(errs, "entry needs -settings FILE or", SettingsVariable, "and takes no other arguments")
 		return subcommands.ExitUsageError
 	}
-	s, err := entry.LoadSettings(c.settings)
+	s, err := LoadSettings(c.settings)
 	if err != nil {
 		_, _ = fmt.Fprintln(errs, err)
 		return subcommands.ExitUsageError
@@ -64,10 +62,17 @@
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	logger := hclog.New(&hclog.LoggerOptions{JSONFormat: true, Output: os.Stdout})
-	h := &entry.Host{Settings: s, Logger: logger}
+	h := &Host{Settings: s, Logger: logger}
 	if err := h.Run(ctx); err != nil {
 		_, _ = fmt.Fprintln(errs, "entry:", err)
 		return subcommands.ExitFailure
 	}
 	return subcommands.ExitSuccess
 }
+
+func (c *Command) errs() io.Writer {
+	if c.Err != nil {
+		return c.Err
+	}
+	return os.Stderr
+}
