Decide the calls on the store apart from the calls, and count suspended time

Cause: a machine that was suspended took what it knew for as fresh as before.

Change: ages are taken from a clock that counts suspension. A Follower decides the next call on the store for each source: a watch waits a third of the bound, a lost store is asked for immediate answers.

--- /dev/null
+++ b/catalogue/follower.go
@@ -0,0 +1,72 @@
+package catalogue
+
+import "time"
+
+// Call is the next call on the store for one source.
+type Call struct {
+	Source Source
+	// Whole asks for all records; otherwise for the changes after a version.
+	Whole bool
+	After Version
+	// Wait is how long the store may wait for a change.
+	Wait time.Duration
+	// Timeout is when a call without an answer has failed.
+	Timeout time.Duration
+}
+
+// Times of calls on the store.
+const (
+	// maxWait bounds the time that a watch waits: a watch that has gone silent
+	// is noticed only when that and callTimeout are over.
+	maxWait = 1600 * time.Millisecond
+	// callTimeout is how long a call may take beyond the time it waits.
+	callTimeout = 600 * time.Millisecond
+	// firstPause and maxPause bound the pause after failed calls.
+	firstPause = 250 * time.Millisecond
+	maxPause   = 500 * time.Millisecond
+)
+
+// Follower decides how one source of the store is followed: it is listed once
+// and then watched. A watch may be cut, fall silent or lose its history at any
+// time. A Follower must have its Source and Bound set. It belongs to one
+// goroutine.
+type Follower struct {
+	Source Source
+	// Bound is the time within which a change must be in force.
+	Bound time.Duration
+
+	version Version
+	failed  int
+}
+
+// Next returns the next call. After a failed one the store is asked for an
+// immediate answer, so that its return is noticed at once.
+func (f *Follower) Next() Call {
+	if f.version == 0 {
+		return Call{Source: f.Source, Whole: true, Timeout: callTimeout}
+	}
+	wait := min(f.Bound/3, maxWait)
+	if f.failed > 0 {
+		wait = 0
+	}
+	return Call{Source: f.Source, After: f.version, Wait: wait, Timeout: wait + callTimeout}
+}
+
+// Answered takes in an answer. It reports whether the store was lost before.
+func (f *Follower) Answered(version Version) bool {
+	regained := f.failed > 0
+	f.failed = 0
+	f.version = max(version, f.version)
+	return regained
+}
+
+// Failed takes in that a call was not served. It returns the pause before the
+// next one and whether the store has just been lost.
+func (f *Follower) Failed() (time.Duration, bool) {
+	f.failed++
+	return min(firstPause*time.Duration(f.failed), maxPause), f.failed == 1
+}
+
+// Forgotten takes in that the store has forgotten the changes after the known
+// version. All records are asked for next.
+func (f *Follower) Forgotten() { f.version = 0 }
--- a/entry/host.go
+++ b/entry/host.go
@@ -21,6 +21,9 @@
 // host out after two missed health checks, half a second apart.
 const lingerTime = 1600 * time.Millisecond
 
+// dialTimeout bounds the opening of a connection to the store.
+const dialTimeout = 500 * time.Millisecond
+
 // Host is one entry host. Settings and Logger must be set.
 type Host struct {
 	Settings Settings
@@ -69,7 +72,7 @@
 	group, work := errgroup.WithContext(work)
 	store := platform.Store{Address: h.Settings.Store.Address.String(), HTTP: newClient()}
 	for source := range catalogue.Source(catalogue.SourceCount) {
-		reader := storeReader{host: h, store: &store, source: source}
+		reader := storeReader{host: h, store: &store, follower: catalogue.Follower{Source: source, Bound: h.bound(source)}}
 		group.Go(func() error { return reader.run(work) })
 	}
 	group.Go(func() error { return h.control(work) })
@@ -85,6 +88,18 @@
 	return group.Wait()
 }
 
+// bound returns the time within which a change of a source must be in force.
+func (h *Host) bound(source catalogue.Source) time.Duration {
+	switch source {
+	case catalogue.Servers:
+		return h.Settings.Bounds.Drain
+	case catalogue.Evacuations:
+		return h.Settings.Bounds.Evacuation
+	case catalogue.Configurations:
+	}
+	return h.Settings.Bounds.Configuration
+}
+
 // awaitStop returns when the host may stop forwarding.
 func (h *Host) awaitStop(ctx, work context.Context) {
 	select {
@@ -114,12 +129,12 @@
 		case <-ctx.Done():
 			return nil
 		case answer := <-h.answers:
-			changed = tracker.Take(time.Now(), answer)
+			changed = tracker.Take(now(), answer)
 			if answer.Source == catalogue.Configurations {
 				confirmed = answer.Asked
 			}
-		case now := <-tick.C:
-			changed = tracker.Tick(now)
+		case <-tick.C:
+			changed = tracker.Tick(now())
 		}
 		before := h.snapshot.Load().catalogue
 		h.snapshot.Store(&snapshot{catalogue: tracker.Current(), confirmed: confirmed})
@@ -134,8 +149,8 @@
 }
 
 // endFlows resets the flows of the servers that have ended since before.
-func (h *Host) endFlows(before, now *catalogue.Catalogue) {
-	for cookie, gone := range now.Gone() {
+func (h *Host) endFlows(before, after *catalogue.Catalogue) {
+	for cookie, gone := range after.Gone() {
 		if !gone || (before != nil && before.IsGone(cookie)) {
 			continue
 		}
@@ -156,7 +171,7 @@
 
 func newClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: callTimeout}).DialContext,
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: catalogue.SourceCount,
 		DisableCompression:  true,
 	}}
--- a/entry/packets.go
+++ b/entry/packets.go
@@ -64,7 +64,7 @@
 	known := h.snapshot.Load()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.forwarder.Decide(time.Now(), known.catalogue, known.confirmed, p)
+	return h.forwarder.Decide(now(), known.catalogue, known.confirmed, p)
 }
 
 // act carries out a decision. The datagram has room for a tag before the packet.
--- a/entry/reader.go
+++ b/entry/reader.go
@@ -10,29 +10,16 @@
 	"github.com/rattanthread/rattanthread/platform"
 )
 
-// Times of calls on the store.
-const (
-	// watchTime is how long a watch waits for news.
-	watchTime = time.Second
-	// callTimeout is how long a call may take beyond the time it waits.
-	callTimeout = 600 * time.Millisecond
-	// retryTime is the pause after a failed call.
-	retryTime = 250 * time.Millisecond
-)
-
 // storeReader follows one source of the store.
 type storeReader struct {
-	host   *Host
-	store  *platform.Store
-	source catalogue.Source
-
-	version catalogue.Version
-	failing bool
+	host     *Host
+	store    *platform.Store
+	follower catalogue.Follower
 }
 
 func (r *storeReader) run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		answer, err := r.ask(ctx)
+		answer, err := r.ask(ctx, r.follower.Next())
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -40,8 +27,9 @@
 			r.failed(ctx, err)
 			continue
 		}
-		r.succeeded()
-		r.version = answer.Version
+		if r.follower.Answered(answer.Version) {
+			r.host.Logger.Info("store regained", "source", answer.Source.String(), "version", answer.Version)
+		}
 		select {
 		case r.host.answers <- answer:
 		case <-ctx.Done():
@@ -50,44 +38,35 @@
 	return nil
 }
 
-// ask lists the records if none are known, and else waits for changes.
-func (r *storeReader) ask(ctx context.Context) (catalogue.Answer, error) {
-	if r.version == 0 {
-		ctx, cancel := context.WithTimeout(ctx, callTimeout)
-		defer cancel()
-		return r.store.List(ctx, r.source, time.Now())
-	}
-	wait := watchTime
-	if r.failing {
-		wait = 0
-	}
-	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+func (r *storeReader) ask(ctx context.Context, call catalogue.Call) (catalogue.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, call.Timeout)
 	defer cancel()
-	answer, err := r.store.Watch(ctx, r.source, r.version, wait)
-	answer.Asked = time.Now()
+	if call.Whole {
+		asked := now()
+		answer, err := r.store.List(ctx, call.Source)
+		answer.Asked = asked
+		return answer, err
+	}
+	answer, err := r.store.Watch(ctx, call.Source, call.After, call.Wait)
+	answer.Asked = now()
 	return answer, err
 }
 
 func (r *storeReader) failed(ctx context.Context, err error) {
+	source := r.follower.Source.String()
 	if errors.Is(err, platform.ErrHistoryGone) {
-		r.version = 0
+		r.host.Logger.Info("history gone", "source", source)
+		r.follower.Forgotten()
 		return
 	}
-	if !r.failing {
-		r.failing = true
-		r.host.Logger.Warn("store lost", "source", r.source.String(), "error", err)
+	pause, lost := r.follower.Failed()
+	if lost {
+		r.host.Logger.Warn("store lost", "source", source, "error", err)
 	}
-	timer := time.NewTimer(retryTime)
+	timer := time.NewTimer(pause)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
 	case <-ctx.Done():
 	}
 }
-
-func (r *storeReader) succeeded() {
-	if r.failing {
-		r.failing = false
-		r.host.Logger.Info("store regained", "source", r.source.String())
-	}
-}
