Pass over all servers that failed a caller's tries, and test the decisions

Cause: found by a test that replays callers on a service of which two of three servers refuse: 78 of 200 lost all their tries, as a retry comes from another port and ranks the servers anew. A copy that takes its way through another host went to the same server as the first.

Change: the servers of all failed tries in a row are passed over; after two in the own data centre another one is tried. 200 of 200 are served.

--- /dev/null
+++ b/catalogue/follower_test.go
@@ -0,0 +1,45 @@
+package catalogue_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/rattanthread/rattanthread/catalogue"
+)
+
+// TestSilentWatchIsNoticedInTime lets a watch fall silent right after a change
+// and adds up the time until the change is known.
+func TestSilentWatchIsNoticedInTime(t *testing.T) {
+	for _, bound := range []time.Duration{3 * time.Second, 5 * time.Second} {
+		is := is.New(t)
+		f := catalogue.Follower{Source: catalogue.Configurations, Bound: bound}
+		is.True(f.Next().Whole)
+		f.Answered(7)
+		silent := f.Next()
+		is.Equal(silent.After, catalogue.Version(7))
+		pause, lost := f.Failed()
+		is.True(lost)
+		again := f.Next()
+		is.Equal(again.Wait, 0*time.Second) // asks for an immediate answer
+		is.True(silent.Timeout+pause+again.Timeout < bound)
+		is.True(f.Answered(9))
+	}
+}
+
+func TestForgottenHistoryIsListedAnew(t *testing.T) {
+	is := is.New(t)
+	f := catalogue.Follower{Bound: 3 * time.Second}
+	f.Answered(7)
+	f.Forgotten()
+	is.True(f.Next().Whole)
+}
+
+func TestVersionNeverGoesBack(t *testing.T) {
+	is := is.New(t)
+	f := catalogue.Follower{Bound: 3 * time.Second}
+	f.Answered(7)
+	f.Answered(5)
+	is.Equal(f.Next().After, catalogue.Version(7))
+}
--- /dev/null
+++ b/catalogue/tracker_test.go
@@ -0,0 +1,202 @@
+package catalogue_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/rattanthread/rattanthread/catalogue"
+	"github.com/rattanthread/rattanthread/fleet"
+)
+
+var (
+	start = time.Unix(1000, 0)
+	feed  = netip.MustParseAddrPort("198.18.0.1:443")
+)
+
+func server(id fleet.ServerID, changed catalogue.Version) *catalogue.Server {
+	return &catalogue.Server{
+		ID: id, Service: "bench", Address: netip.MustParseAddrPort("10.0.0.9:8080"), DataCentre: "a",
+		Tag: 1, Slots: 2, Created: changed, Changed: changed,
+	}
+}
+
+func record(s *catalogue.Server) catalogue.Record {
+	return catalogue.Record{Name: string(s.ID), Changed: s.Changed, Server: s}
+}
+
+func removed(id string, changed catalogue.Version) catalogue.Record {
+	return catalogue.Record{Name: id, Changed: changed, Removed: true}
+}
+
+func servers(version catalogue.Version, whole bool, records ...catalogue.Record) catalogue.Answer {
+	return catalogue.Answer{Source: catalogue.Servers, Whole: whole, Version: version, Records: records, Asked: start}
+}
+
+func configuration(version catalogue.Version, number uint64) catalogue.Answer {
+	return catalogue.Answer{
+		Source: catalogue.Configurations, Whole: true, Version: version, Asked: start,
+		Records: []catalogue.Record{{Name: "main", Changed: version, Configuration: &catalogue.Configuration{
+			Number: number,
+			Routes: []catalogue.Route{{Address: feed, Shares: []catalogue.Share{{Service: "bench", Weight: 1}}}},
+		}}},
+	}
+}
+
+func evacuations(version catalogue.Version, records ...catalogue.Record) catalogue.Answer {
+	return catalogue.Answer{Source: catalogue.Evacuations, Whole: true, Version: version, Records: records, Asked: start}
+}
+
+func TestReady(t *testing.T) {
+	is := is.New(t)
+	var tracker catalogue.Tracker
+	is.True(!tracker.Current().Ready())
+	tracker.Take(start, servers(1, true, record(server("i-01", 1))))
+	is.True(!tracker.Current().Ready()) // no configuration yet
+	tracker.Take(start, configuration(2, 7))
+	is.True(tracker.Current().Ready())
+	is.Equal(len(tracker.Current().Pool("bench")), 1)
+}
+
+func TestOlderAnswerChangesNothing(t *testing.T) {
+	is := is.New(t)
+	var tracker catalogue.Tracker
+	tracker.Take(start, configuration(9, 8))
+	is.True(!tracker.Take(start, configuration(5, 7))) // a replica that lags
+	is.Equal(tracker.Current().Configuration.Number, uint64(8))
+}
+
+func TestDrainingServerKeepsItsFlowsOnly(t *testing.T) {
+	is := is.New(t)
+	var tracker catalogue.Tracker
+	tracker.Take(start, servers(1, true, record(server("i-01", 1))))
+	draining := server("i-01", 2)
+	draining.Draining = true
+	tracker.Take(start, servers(2, false, record(draining)))
+	c := tracker.Current()
+	is.Equal(len(c.Pool("bench")), 0)
+	is.Equal(c.Server(catalogue.CookieOf("i-01")).ID, fleet.ServerID("i-01"))
+}
+
+func TestUnreadableRecordKeepsFlows(t *testing.T) {
+	is := is.New(t)
+	var tracker catalogue.Tracker
+	tracker.Take(start, servers(1, true, record(server("i-01", 1))))
+	tracker.Take(start, servers(2, false, catalogue.Record{Name: "i-01", Changed: 2}))
+	c := tracker.Current()
+	is.Equal(len(c.Pool("bench")), 0)
+	is.True(c.Server(catalogue.CookieOf("i-01")) != nil)
+	is.True(!c.IsGone(catalogue.CookieOf("i-01")))
+
+	tracker.Take(start, servers(3, false, record(server("i-01", 3))))
+	is.Equal(len(tracker.Current().Pool("bench")), 1)
+}
+
+func TestRemovedServerIsGone(t *testing.T) {
+	is := is.New(t)
+	var tracker catalogue.Tracker
+	tracker.Take(start, servers(1, true, record(server("i-01", 1))))
+	tracker.Take(start, servers(2, false, removed("i-01", 2)))
+	c := tracker.Current()
+	is.True(c.Server(catalogue.CookieOf("i-01")) == nil)
+	is.True(c.IsGone(catalogue.CookieOf("i-01")))
+}
+
+func TestLapsedServersAreKeptUntilTheStoreHasSettled(t *testing.T) {
+	const outage = 10 * time.Second
+	tests := []struct {
+		name   string
+		back   bool
+		listed bool
+	}{
+		{"one that registers again keeps its flows", true, false},
+		{"one that does not is gone", false, false},
+		{"one that is missing from a list is gone as well", false, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			var tracker catalogue.Tracker
+			tracker.Take(start, servers(1, true, record(server("i-01", 1))))
+			returned := start.Add(outage)
+			lapsed := servers(5, false, removed("i-01", 5))
+			if test.listed {
+				lapsed = servers(5, true)
+			}
+			tracker.Take(returned, lapsed)
+			is.Equal(len(tracker.Current().Pool("bench")), 1) // the store has just returned
+			if test.back {
+				tracker.Take(returned.Add(2*time.Second), servers(6, false, record(server("i-01", 6))))
+			}
+			tracker.Tick(returned.Add(catalogue.DefaultReturnGrace))
+			is.Equal(len(tracker.Current().Pool("bench")) == 1, test.back)
+			is.Equal(tracker.Current().IsGone(catalogue.CookieOf("i-01")), !test.back)
+		})
+	}
+}
+
+func TestEvacuation(t *testing.T) {
+	is := is.New(t)
+	var tracker catalogue.Tracker
+	tracker.Take(start, servers(1, true, record(server("i-01", 1))))
+	tracker.Take(start, evacuations(2, catalogue.Record{Name: "a", Changed: 2}))
+	is.Equal(len(tracker.Current().Pool("bench")), 0)
+	is.True(tracker.Current().Server(catalogue.CookieOf("i-01")) != nil) // open flows go on
+	tracker.Take(start, catalogue.Answer{Source: catalogue.Evacuations, Version: 3, Records: []catalogue.Record{removed("a", 3)}})
+	is.Equal(len(tracker.Current().Pool("bench")), 1)
+}
+
+func TestOfServersWithOneCookieTheOlderKeepsIt(t *testing.T) {
+	is := is.New(t)
+	first, second := collidingIDs()
+	is.Equal(catalogue.CookieOf(first), catalogue.CookieOf(second))
+	var tracker catalogue.Tracker
+	tracker.Take(start, servers(2, true, record(server(second, 2)), record(server(first, 1))))
+	c := tracker.Current()
+	is.Equal(c.Server(catalogue.CookieOf(first)).ID, first)
+	is.Equal(len(c.Pool("bench")), 1) // no flow goes to the other one
+}
+
+// collidingIDs finds two ids with the same cookie by the birthday paradox.
+func collidingIDs() (first, second fleet.ServerID) {
+	seen := make(map[catalogue.Cookie]fleet.ServerID)
+	for i := 0; ; i++ {
+		id := fleet.ServerID("i-" + string(rune('a'+i%26)) + string(rune('a'+i/26%26)) + string(rune('a'+i/676%26)) + string(rune('0'+i/17576)))
+		if other, ok := seen[catalogue.CookieOf(id)]; ok {
+			return other, id
+		}
+		seen[catalogue.CookieOf(id)] = id
+	}
+}
+
+func TestCookieIsSealedForItsRoute(t *testing.T) {
+	is := is.New(t)
+	cookie := catalogue.CookieOf("i-01")
+	other := netip.MustParseAddrPort("198.18.0.1:444")
+	is.Equal(cookie.On(feed).On(feed), cookie)
+	is.True(cookie.On(feed).On(other) != cookie)
+}
+
+func TestRebornServerIsNoted(t *testing.T) {
+	is := is.New(t)
+	var tracker catalogue.Tracker
+	tracker.Take(start, servers(1, true, record(server("i-01", 1))))
+	tracker.Changes()
+	reborn := server("i-01", 2)
+	reborn.Started = 5
+	tracker.Take(start, servers(2, false, record(reborn)))
+	is.Equal(tracker.Changes()[0].Kind, catalogue.ServerRestarted)
+}
+
+func TestColdServerWarmsUp(t *testing.T) {
+	is := is.New(t)
+	var tracker catalogue.Tracker
+	cold := server("i-01", 1)
+	cold.Cold = 2 * time.Second
+	tracker.Take(start, servers(1, true, record(cold)))
+	got := tracker.Current().Pool("bench")[0]
+	is.True(got.IsCold(start))
+	is.True(!got.IsCold(start.Add(2 * time.Second)))
+}
--- a/control/imports_test.go
+++ b/control/imports_test.go
@@ -18,7 +18,8 @@
 // decisionPackages take events and times and give decisions. Config counts as
 // one except for the file that loads declarations.
 var decisionPackages = []string{
-	"backend", "control", "datacentre", "fleet", "flow", "membership", "request", "rollout",
+	"backend", "catalogue", "control", "datacentre", "fleet", "flow", "forwarding", "membership", "placement", "request",
+	"rollout",
 }
 
 // forbiddenImports bring I/O, a network, goroutines' tools or a clock of their own.
--- a/forwarding/flows.go
+++ b/forwarding/flows.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/rattanthread/rattanthread/catalogue"
+	"github.com/rattanthread/rattanthread/placement"
 )
 
 // Sign is what a packet of a caller shows of its server.
@@ -44,11 +45,10 @@
 
 // attempt is an opening whose flow is not known to be open.
 type attempt struct {
-	flow   flowKey
-	server catalogue.Cookie
-	at     time.Time
-	// tries counts the openings that failed in a row, with this one.
-	tries int
+	flow flowKey
+	at   time.Time
+	// tried holds the servers of the openings that failed in a row, with this one.
+	tried placement.Failed
 }
 
 // Bounds of the time between an opening that was refused and the next try.
@@ -98,28 +98,26 @@
 	sent     time.Time
 }
 
-// Failed returns how many openings of a flow's caller have failed in a row just
-// before it, and the server of the last one. Copies of an opening packet count,
-// and so does a flow that was refused and is tried again from another port.
-func (f *Flows) Failed(now time.Time, p *Packet) (int, catalogue.Cookie) {
+// Failed returns the servers on which a caller's openings have failed in a row
+// just before this one. Copies of an opening packet count, and so does a flow
+// that was refused and is tried again from another port.
+func (f *Flows) Failed(now time.Time, p *Packet) placement.Failed {
 	key := keyOf(p)
 	before, ok := f.attempts[key.caller()]
-	if !ok {
-		return 0, 0
-	}
 	since := now.Sub(before.at)
-	if before.flow == key && p.Ack > 0 || since >= minRetry && since <= maxRetry {
-		return before.tries, before.server
+	if ok && (before.flow == key && p.Ack > 0 || since >= minRetry && since <= maxRetry) {
+		return before.tried
 	}
-	return 0, 0
+	return placement.Failed{}
 }
 
-// Opened notes that the opening packet of a flow was sent to a server, after a
-// number of failed tries.
-func (f *Flows) Opened(now time.Time, p *Packet, server catalogue.Cookie, failed int) {
+// Opened notes that the opening packet of a flow was sent to a server, after
+// tries that have failed.
+func (f *Flows) Opened(now time.Time, p *Packet, server catalogue.Cookie, failed placement.Failed) {
 	key := keyOf(p)
 	f.put(now, key, flowState{opening: true, server: server, sent: now})
-	f.attempts[key.caller()] = attempt{flow: key, server: server, at: now, tries: failed + 1}
+	failed.Add(server)
+	f.attempts[key.caller()] = attempt{flow: key, at: now, tried: failed}
 }
 
 // Seen notes a packet of an open flow and returns what it shows.
--- a/forwarding/flows_test.go
+++ b/forwarding/flows_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"github.com/rattanthread/rattanthread/forwarding"
+	"github.com/rattanthread/rattanthread/placement"
 )
 
 // segment is a packet of an open flow and the sign that it should be.
@@ -52,7 +53,7 @@
 			var f forwarding.Flows
 			now := start
 			p := opening()
-			f.Opened(now, &p, 3, 0)
+			f.Opened(now, &p, 3, placement.Failed{})
 			f.Seen(now, &p, 3)
 			for _, s := range test.segments {
 				now = now.Add(s.after)
--- a/forwarding/forwarder.go
+++ b/forwarding/forwarder.go
@@ -98,6 +98,9 @@
 // the lack of a route to be certain.
 const DefaultFresh = 2 * time.Second
 
+// maxCopies is how many copies of an opening packet callers send.
+const maxCopies = 2
+
 // Forwarder decides on packets. It belongs to one goroutine.
 type Forwarder struct {
 	Chooser placement.Chooser
@@ -141,20 +144,32 @@
 // open places a new flow.
 func (f *Forwarder) open(now time.Time, c *catalogue.Catalogue, route *catalogue.Route, p Packet) Decision {
 	hash := keyOf(&p).hash()
-	failed, before := f.flows.Failed(now, &p)
-	server := f.Chooser.Choose(now, c.Pool(c.Pick(route, hash)), hash, max(failed, int(p.Ack)), before)
+	pool := c.Pool(c.Pick(route, hash))
+	failed := f.failed(now, pool, hash, &p)
+	server := f.Chooser.Choose(now, pool, hash, failed)
 	if server == nil {
 		return Decision{Action: Refuse, Reason: NoServer}
 	}
 	d := Decision{Action: Forward, Reason: Placed, Server: server, Cookie: server.Cookie.On(p.Destination)}
 	f.flows.Opened(now, &p, server.Cookie, failed)
-	if failed > 0 {
+	if failed.Count() > 0 {
 		d.Reason = PlacedAgain
-		f.repeated(now, c, before, &d)
+		f.repeated(now, c, failed.Last(), &d)
 	}
 	return d
 }
 
+// failed returns the servers that have not opened a flow. For a copy of an opening
+// packet that was sent through another host, these are the ones that this host
+// would have chosen.
+func (f *Forwarder) failed(now time.Time, pool []*catalogue.Server, hash uint64, p *Packet) placement.Failed {
+	failed := f.flows.Failed(now, p)
+	for failed.Count() < min(int(p.Ack), maxCopies) && len(pool) > 0 {
+		failed.Add(f.Chooser.Choose(now, pool, hash, failed).Cookie)
+	}
+	return failed
+}
+
 // segment sends a packet of an open flow to the flow's server.
 func (f *Forwarder) segment(now time.Time, c *catalogue.Catalogue, p Packet) Decision {
 	cookie := p.Cookie.On(p.Destination)
--- a/forwarding/forwarder_test.go
+++ b/forwarding/forwarder_test.go
@@ -92,3 +92,148 @@
 	p := segmentOf(forwarding.Decision{Cookie: catalogue.CookieOf("i-01").On(netip.MustParseAddrPort("198.18.0.2:443"))})
 	is.Equal(newForwarder().Decide(start, known, start, p), forwarding.Decision{Reason: forwarding.ServerUnknown})
 }
+
+func TestDecide(t *testing.T) {
+	var w world
+	known := learn(w.configuration("bench"), w.servers(server("i-01", "bench")))
+	empty := learn(w.configuration("bench"), w.servers(server("i-02", "sheets")))
+	elsewhere := netip.MustParseAddrPort("198.18.0.9:443")
+	tests := []struct {
+		name   string
+		known  *catalogue.Catalogue
+		age    time.Duration
+		packet forwarding.Packet
+		action forwarding.Action
+		reason forwarding.Reason
+	}{
+		{"nothing is known yet", nil, 0, opening(), forwarding.Drop, forwarding.NotReady},
+		{"a new flow", known, 0, opening(), forwarding.Forward, forwarding.Placed},
+		{
+			"no route, and that is certain", known, 0,
+			forwarding.Packet{Source: caller, Destination: elsewhere, Kind: forwarding.Opening},
+			forwarding.Refuse, forwarding.NoRoute,
+		},
+		{
+			"no route as far as a stale configuration tells", known, 10 * time.Second,
+			forwarding.Packet{Source: caller, Destination: elsewhere, Kind: forwarding.Opening},
+			forwarding.Drop, forwarding.RouteUnknown,
+		},
+		{
+			"a reset is not answered", known, 0,
+			forwarding.Packet{Source: caller, Destination: elsewhere, Kind: forwarding.Reset},
+			forwarding.Drop, forwarding.RouteUnknown,
+		},
+		{"no server that may get flows", empty, 0, opening(), forwarding.Refuse, forwarding.NoServer},
+		{
+			"an answer to an opening, which no caller sends", known, 0,
+			forwarding.Packet{Source: caller, Destination: feed, Kind: forwarding.Foreign},
+			forwarding.Drop, forwarding.NotACallers,
+		},
+		{
+			"a cookie that names no server", known, 0,
+			forwarding.Packet{Source: caller, Destination: feed, Cookie: 12345},
+			forwarding.Drop, forwarding.ServerUnknown,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			got := newForwarder().Decide(start, test.known, start.Add(-test.age), test.packet)
+			is.Equal(got.Action, test.action)
+			is.Equal(got.Reason, test.reason)
+		})
+	}
+}
+
+func TestFlowOfEndedServerIsReset(t *testing.T) {
+	is := is.New(t)
+	var w world
+	f := newForwarder()
+	before := learn(w.configuration("bench"), w.servers(server("i-01", "bench")))
+	placed := f.Decide(start, before, start, opening())
+	p := segmentOf(placed)
+	p.Ack = 77
+	f.Decide(start, before, start, p)
+
+	idle := f.Ended(placed.Server.Cookie)
+	is.Equal(len(idle), 1) // told at once, before the next request is sent on it
+	is.Equal(idle[0].Source, caller)
+	is.Equal(idle[0].Destination, feed)
+	is.Equal(idle[0].Ack, uint32(77))
+
+	var tracker catalogue.Tracker
+	for _, a := range []catalogue.Answer{w.configuration("bench"), w.servers(server("i-01", "bench")), w.servers(server("i-02", "bench"))} {
+		tracker.Take(start, a)
+	}
+	is.Equal(f.Decide(start, tracker.Current(), start, p).Reason, forwarding.ServerGone)
+}
+
+func TestUnreachableServerLosesItsFlows(t *testing.T) {
+	is := is.New(t)
+	var w world
+	f := newForwarder()
+	known := learn(w.configuration("bench"), w.servers(server("i-01", "bench"), server("i-02", "bench")))
+	placed := f.Decide(start, known, start, opening())
+	p := segmentOf(placed)
+	is.True(f.Decide(start, known, start, p).Probe == nil)
+	repeated := f.Decide(start.Add(200*time.Millisecond), known, start, p)
+	is.Equal(repeated.Action, forwarding.Forward) // doubt alone resets nothing
+	is.Equal(repeated.Probe, placed.Server)
+
+	is.Equal(len(f.Probed(placed.Server.Cookie, false)), 1)
+	is.Equal(f.Decide(start.Add(time.Second), known, start, p).Reason, forwarding.ServerUnreachable)
+	is.True(f.Decide(start.Add(time.Second), known, start, opening()).Server != placed.Server)
+}
+
+func TestReachableServerKeepsItsFlows(t *testing.T) {
+	is := is.New(t)
+	var w world
+	f := newForwarder()
+	known := learn(w.configuration("bench"), w.servers(server("i-01", "bench"), server("i-02", "bench")))
+	placed := f.Decide(start, known, start, opening())
+	p := segmentOf(placed)
+	for i := range 5 {
+		at := start.Add(time.Duration(i) * 200 * time.Millisecond)
+		is.Equal(f.Decide(at, known, start, p).Action, forwarding.Forward) // slow, but alive
+		is.Equal(len(f.Probed(placed.Server.Cookie, true)), 0)
+	}
+}
+
+// TestRefusedCallerIsPlacedElsewhere is the load of callers on a service of
+// which two of three servers refuse each opening at once, with 2 retries each.
+func TestRefusedCallerIsPlacedElsewhere(t *testing.T) {
+	is := is.New(t)
+	var w world
+	known := learn(w.configuration("bench"), w.servers(server("i-01", "bench"), server("i-02", "bench"), server("i-03", "bench")))
+	served := 0
+	for n := range 200 {
+		f := newForwarder()
+		p := opening()
+		tried := make(map[fleet.ServerID]bool)
+		for try := range 3 {
+			p.Source = netip.AddrPortFrom(caller.Addr(), uint16(1000+10*n+try))
+			at := start.Add(time.Duration(try) * 6 * time.Millisecond)
+			d := f.Decide(at, known, start, p)
+			is.Equal(d.Probe != nil, try > 0) // the server that refused is in doubt
+			is.True(!tried[d.Server.ID])
+			if d.Server.ID == "i-03" {
+				served++
+				break
+			}
+			tried[d.Server.ID] = true
+		}
+	}
+	is.Equal(served, 200)
+}
+
+func TestCopyThroughAnotherHostGoesToAnotherServer(t *testing.T) {
+	is := is.New(t)
+	var w world
+	known := learn(w.configuration("bench"), w.servers(server("i-01", "bench"), server("i-02", "bench"), server("i-03", "bench")))
+	p := opening()
+	first := newForwarder().Decide(start, known, start, p)
+	p.Ack = 1
+	second := newForwarder().Decide(start.Add(200*time.Millisecond), known, start, p)
+	is.True(first.Server != second.Server)
+	is.Equal(second.Reason, forwarding.PlacedAgain)
+}
--- a/placement/chooser.go
+++ b/placement/chooser.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -10,8 +11,39 @@
 	"github.com/rattanthread/rattanthread/fleet"
 )
 
-// maxTries is how many tries to open a flow are told apart.
-const maxTries = 3
+// MaxFailed is how many failed tries to open a flow are remembered.
+const MaxFailed = 4
+
+// Failed holds the servers on which tries to open a flow have failed in a row.
+type Failed struct {
+	servers [MaxFailed]catalogue.Cookie
+	count   int
+}
+
+// Add notes one more server. The oldest is forgotten if there are too many.
+func (f *Failed) Add(server catalogue.Cookie) {
+	f.servers[f.count%MaxFailed] = server
+	f.count++
+}
+
+// Count returns how many tries have failed.
+func (f *Failed) Count() int { return f.count }
+
+// Last returns the server of the last failed try, or zero.
+func (f *Failed) Last() catalogue.Cookie {
+	if f.count == 0 {
+		return 0
+	}
+	return f.servers[(f.count-1)%MaxFailed]
+}
+
+func (f *Failed) has(server catalogue.Cookie) bool {
+	return f.count > 0 && slices.Contains(f.servers[:min(f.count, MaxFailed)], server)
+}
+
+// localTries is how many tries stay in the own data centre. If they all fail, the
+// data centre as a whole is in trouble.
+const localTries = 2
 
 // Chooser chooses servers for new flows. It belongs to one goroutine.
 type Chooser struct {
@@ -25,49 +57,34 @@
 
 // Reasons to pass over a server, the gravest highest.
 const (
-	remote = 1 << iota
+	remote = 1 << iota // or local, after failed tries there
 	cold
 	suspected
-	unreached
+	failed
+	unreachable
 )
 
-// candidate is a server with the reasons against it and its rank for the flow.
-type candidate struct {
-	server  *catalogue.Server
-	against int
-	score   uint64
-}
-
-func (c candidate) before(other candidate) bool {
-	if c.against != other.against {
-		return c.against < other.against
-	}
-	return c.score > other.score
-}
-
-// Choose returns the server for a new flow, or nil if the pool is empty. After
-// failed tries each goes to another server, as long as there is one, and not to
-// the one that failed last. Hosts with the same catalogue and the same suspicions
-// choose alike.
-func (c *Chooser) Choose(now time.Time, pool []*catalogue.Server, flow uint64, failed int, last catalogue.Cookie) *catalogue.Server {
-	var best [maxTries]candidate
-	n := 0
+// Choose returns the server for a new flow, or nil if the pool is empty. Servers
+// on which the caller's last tries have failed come last. Hosts with the same
+// catalogue and the same suspicions choose alike.
+func (c *Chooser) Choose(now time.Time, pool []*catalogue.Server, flow uint64, tried Failed) *catalogue.Server {
+	var best *catalogue.Server
+	var bestAgainst int
+	var bestScore uint64
 	for _, server := range pool {
-		next := candidate{server: server, against: c.against(now, server), score: score(flow, server.Cookie)}
-		if server.Cookie == last {
-			next.against |= unreached
+		against, score := c.against(now, server, &tried), score(flow, server.Cookie)
+		if best == nil || against < bestAgainst || against == bestAgainst && score > bestScore {
+			best, bestAgainst, bestScore = server, against, score
 		}
-		n = insert(&best, n, next)
-	}
-	if n == 0 {
-		return nil
 	}
-	return best[min(failed, n-1)].server
+	return best
 }
 
-func (c *Chooser) against(now time.Time, server *catalogue.Server) int {
+// against returns the reasons to pass over a server.
+func (c *Chooser) against(now time.Time, server *catalogue.Server, tried *Failed) int {
 	reasons := 0
-	if server.DataCentre != c.DataCentre {
+	local := server.DataCentre == c.DataCentre
+	if local != (tried.Count() < localTries) {
 		reasons |= remote
 	}
 	if server.IsCold(now) {
@@ -76,27 +93,15 @@
 	if c.Suspects.Suspected(now, server.Cookie) {
 		reasons |= suspected
 	}
+	if tried.has(server.Cookie) {
+		reasons |= failed
+	}
 	if c.Reach.Unreachable(server.Cookie) {
-		reasons |= unreached
+		reasons |= unreachable
 	}
 	return reasons
 }
 
-// insert keeps the best candidates in order and returns how many there are.
-func insert(best *[maxTries]candidate, n int, next candidate) int {
-	at := n
-	for at > 0 && next.before(best[at-1]) {
-		at--
-	}
-	if at == maxTries {
-		return n
-	}
-	n = min(n+1, maxTries)
-	copy(best[at+1:n], best[at:n-1])
-	best[at] = next
-	return n
-}
-
 // score ranks a server for a flow by rendezvous hashing.
 func score(flow uint64, server catalogue.Cookie) uint64 {
 	var data [12]byte
--- a/placement/reach.go
+++ b/placement/reach.go
@@ -12,8 +12,8 @@
 type reachState int
 
 const (
-	probing reachState = iota + 1
-	unreachable
+	stateProbing reachState = iota + 1
+	stateUnreachable
 )
 
 // Doubt notes a sign that a server may have ended. It reports whether the
@@ -25,7 +25,7 @@
 	if r.servers == nil {
 		r.servers = make(map[catalogue.Cookie]reachState)
 	}
-	r.servers[server] = probing
+	r.servers[server] = stateProbing
 	return true
 }
 
@@ -40,12 +40,12 @@
 	if r.servers == nil {
 		r.servers = make(map[catalogue.Cookie]reachState)
 	}
-	r.servers[server] = unreachable
-	return before != unreachable
+	r.servers[server] = stateUnreachable
+	return before != stateUnreachable
 }
 
 // Forget drops what is known of a server that has ended.
 func (r *Reach) Forget(server catalogue.Cookie) { delete(r.servers, server) }
 
 // Unreachable reports whether a server accepts no connection.
-func (r *Reach) Unreachable(server catalogue.Cookie) bool { return r.servers[server] == unreachable }
+func (r *Reach) Unreachable(server catalogue.Cookie) bool { return r.servers[server] == stateUnreachable }
--- /dev/null
+++ b/placement/suspects_test.go
@@ -0,0 +1,53 @@
+package placement_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/rattanthread/rattanthread/catalogue"
+	"github.com/rattanthread/rattanthread/placement"
+)
+
+func TestSuspicionRisesAndEnds(t *testing.T) {
+	is := is.New(t)
+	var s placement.Suspects
+	is.True(!s.Repeated(start, 1)) // one repetition is a lost packet
+	is.True(!s.Suspected(start, 1))
+	is.True(s.Repeated(start, 1))
+	is.True(s.Suspected(start, 1))
+	is.True(!s.Suspected(start.Add(placement.DefaultSuspicion), 1))
+}
+
+func TestAnswerEndsSuspicion(t *testing.T) {
+	is := is.New(t)
+	var s placement.Suspects
+	s.Repeated(start, 1)
+	is.True(!s.Answered(start, 1))
+	is.True(!s.Repeated(start, 1)) // counts anew after an answer
+	is.True(s.Repeated(start, 1))
+	is.True(s.Answered(start, 1))
+	is.True(!s.Suspected(start, 1))
+}
+
+func TestRepetitionsFarApartRaiseNoSuspicion(t *testing.T) {
+	is := is.New(t)
+	var s placement.Suspects
+	s.Repeated(start, 1)
+	is.True(!s.Repeated(start.Add(placement.DefaultSuspicion+time.Millisecond), 1))
+}
+
+func TestOneProbeAtATime(t *testing.T) {
+	is := is.New(t)
+	var r placement.Reach
+	const server = catalogue.Cookie(1)
+	is.True(r.Doubt(server))
+	is.True(!r.Doubt(server))
+	is.True(r.Probed(server, false))
+	is.True(r.Unreachable(server))
+	is.True(!r.Probed(server, false)) // known already
+	r.Probed(server, true)
+	is.True(!r.Unreachable(server))
+	is.True(r.Doubt(server))
+}
