--- a/command/command.go
+++ b/command/command.go
@@ -50,6 +50,7 @@
 		&Serve{},
 		&entry.Command{},
 		&Try{},
+		&Site{},
 		&Matrix{},
 		&Replay{},
 	}
--- /dev/null
+++ b/command/site.go
@@ -0,0 +1,78 @@
+package command
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/google/subcommands"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/rattanthread/rattanthread/platformstandin"
+)
+
+// Site plays a trouble on a site in memory.
+type Site struct {
+	Environment
+
+	trouble string
+	seed    uint64
+	length  time.Duration
+	logs    bool
+}
+
+// Name returns the word that calls the command.
+func (*Site) Name() string { return "site" }
+
+// Synopsis says what the command does, in a line.
+func (*Site) Synopsis() string {
+	return "play a trouble on entry hosts of the users' platform, in memory"
+}
+
+// Usage explains the command.
+func (*Site) Usage() string {
+	usage := `site [-trouble NAME] [-seed N] [-length TIME] [-logs]:
+  Run entry hosts between stand-ins for the users' platform, in one process, and
+  print what callers and backend servers saw: worth, broken rules, latency.
+
+  The exit status is 0 if no rule was broken, 1 if one was, and 2 for a trouble
+  that is not known. The troubles are:
+
+`
+	for _, t := range platformstandin.Troubles() {
+		usage += "    " + t.String() + "\n"
+	}
+	return usage + "\n"
+}
+
+// SetFlags defines the command's flags.
+func (c *Site) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.trouble, "trouble", "none", "what happens")
+	f.Uint64Var(&c.seed, "seed", 1, "the seed of all random choices")
+	f.DurationVar(&c.length, "length", 18*time.Second, "how long callers send")
+	f.BoolVar(&c.logs, "logs", false, "write the logs of the hosts to standard error")
+}
+
+// Execute runs the command.
+func (c *Site) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	trouble, ok := platformstandin.FindTrouble(c.trouble)
+	if !ok || f.NArg() > 0 {
+		return c.fail(fmt.Errorf("no trouble %q; see help site: %w", c.trouble, errInput))
+	}
+	site := platformstandin.Site{
+		Zones: []string{"a", "b", "c"}, HostsPerZone: 2, TargetsPerZone: 4, ClientsPerZone: 12, Loss: 0.001, Seed: c.seed,
+	}
+	if c.logs {
+		site.Logger = hclog.New(&hclog.LoggerOptions{JSONFormat: true, Output: os.Stderr})
+	}
+	report := site.Run(c.length, trouble)
+	if err := report.WriteTable(c.out()); err != nil {
+		return c.fail(err)
+	}
+	if len(report.Broken) > 0 {
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
--- a/entry/host.go
+++ b/entry/host.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/hashicorp/go-hclog"
 	"golang.org/x/sync/errgroup"
 
@@ -21,16 +19,15 @@
 // host out after two missed health checks, half a second apart.
 const lingerTime = 1600 * time.Millisecond
 
-// dialTimeout bounds the opening of a connection to the store.
-const dialTimeout = 500 * time.Millisecond
-
 // Host is one entry host. Settings and Logger must be set.
 type Host struct {
 	Settings Settings
 	Logger   hclog.Logger
+	// Network replaces sockets and clock; nil means the machine's own.
+	Network *Network
 
 	snapshot atomic.Pointer[snapshot]
-	packets  *net.UDPConn
+	network  Network
 	// mu guards forwarder, which the packet, control and probe goroutines use.
 	mu        sync.Mutex
 	forwarder forwarding.Forwarder
@@ -52,25 +49,18 @@
 // rotation first and forwards until the fabric has moved on.
 func (h *Host) Run(ctx context.Context) error {
 	h.Logger.Info("start", "host", h.Settings.Host, "data_centre", h.Settings.DataCentre)
-	packets, err := h.listenPackets()
-	if err != nil {
-		return errors.Wrap(err, "listen for packets")
+	if err := h.open(); err != nil {
+		return err
 	}
-	h.packets = packets
 	h.forwarder.Chooser.DataCentre = h.Settings.DataCentre
 	h.probes = make(chan *catalogue.Server, maxProbes)
-	readiness, err := net.Listen("tcp4", h.Settings.Listen.Readiness.String())
-	if err != nil {
-		_ = packets.Close()
-		return errors.Wrap(err, "listen for health checks")
-	}
 	h.ready = make(chan struct{})
 	h.answers = make(chan catalogue.Answer, catalogue.SourceCount)
 	h.snapshot.Store(&snapshot{})
 	work, stopWork := context.WithCancel(context.Background())
 	defer stopWork()
 	group, work := errgroup.WithContext(work)
-	store := platform.Store{Address: h.Settings.Store.Address.String(), HTTP: newClient()}
+	store := platform.Store{Address: h.Settings.Store.Address.String(), HTTP: &http.Client{Transport: h.network.Store}}
 	for source := range catalogue.Source(catalogue.SourceCount) {
 		reader := storeReader{host: h, store: &store, follower: catalogue.Follower{Source: source, Bound: h.bound(source)}}
 		group.Go(func() error { return reader.run(work) })
@@ -78,11 +68,11 @@
 	group.Go(func() error { return h.control(work) })
 	group.Go(func() error { return h.forward(work) })
 	group.Go(func() error { return h.probe(work) })
-	group.Go(func() error { return h.serveReadiness(work, readiness) })
+	group.Go(func() error { return h.network.Serve(work, http.HandlerFunc(h.answerReadiness)) })
 	group.Go(func() error {
 		h.awaitStop(ctx, work)
 		stopWork()
-		_ = packets.Close()
+		h.network.Close()
 		return nil
 	})
 	return group.Wait()
@@ -100,6 +90,17 @@
 	return h.Settings.Bounds.Configuration
 }
 
+// open opens the host's sockets, all or none.
+func (h *Host) open() error {
+	if h.Network != nil {
+		h.network = *h.Network
+		return nil
+	}
+	network, err := listen(h.Settings)
+	h.network = network
+	return err
+}
+
 // awaitStop returns when the host may stop forwarding.
 func (h *Host) awaitStop(ctx, work context.Context) {
 	select {
@@ -129,12 +130,12 @@
 		case <-ctx.Done():
 			return nil
 		case answer := <-h.answers:
-			changed = tracker.Take(now(), answer)
+			changed = tracker.Take(h.network.Now(), answer)
 			if answer.Source == catalogue.Configurations {
 				confirmed = answer.Asked
 			}
 		case <-tick.C:
-			changed = tracker.Tick(now())
+			changed = tracker.Tick(h.network.Now())
 		}
 		before := h.snapshot.Load().catalogue
 		h.snapshot.Store(&snapshot{catalogue: tracker.Current(), confirmed: confirmed})
@@ -168,11 +169,3 @@
 			"configuration", change.Number, "catalogue", c.Number, "servers", c.Servers())
 	}
 }
-
-func newClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConnsPerHost: catalogue.SourceCount,
-		DisableCompression:  true,
-	}}
-}
--- /dev/null
+++ b/entry/network.go
@@ -0,0 +1,103 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/go-faster/errors"
+	"golang.org/x/sys/unix"
+
+	"github.com/rattanthread/rattanthread/catalogue"
+)
+
+const (
+	// receiveBuffer is the room for packets that wait to be read, in bytes.
+	receiveBuffer = 1 << 20
+	// dialTimeout bounds the opening of a connection to the store.
+	dialTimeout = 500 * time.Millisecond
+	// readHeaderTimeout bounds how long a health check may take to ask.
+	readHeaderTimeout = 2 * time.Second
+)
+
+// Network is how a host reaches the world. All fields must be set.
+type Network struct {
+	// Receive waits for the next packet of a caller and returns its size.
+	Receive func(buffer []byte) (int, error)
+	// Send sends a datagram.
+	Send func(datagram []byte, to netip.AddrPort) error
+	// Connect opens a connection to a server and closes it.
+	Connect func(ctx context.Context, to netip.AddrPort) error
+	// Serve answers health checks until ctx ends.
+	Serve func(ctx context.Context, checks http.Handler) error
+	// Store carries the calls on the store.
+	Store http.RoundTripper
+	// Now tells the time. Suspended time counts.
+	Now func() time.Time
+	// Close ends Receive.
+	Close func()
+}
+
+// listen opens the sockets of a host.
+func listen(s Settings) (Network, error) {
+	packets, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(s.Listen.Packets))
+	if err != nil {
+		return Network{}, errors.Wrap(err, "listen.packets")
+	}
+	_ = packets.SetReadBuffer(receiveBuffer)
+	readiness, err := net.Listen("tcp4", s.Listen.Readiness.String())
+	if err != nil {
+		_ = packets.Close()
+		return Network{}, errors.Wrap(err, "listen.readiness")
+	}
+	return Network{
+		Receive: func(buffer []byte) (int, error) {
+			n, _, err := packets.ReadFromUDPAddrPort(buffer)
+			return n, err
+		},
+		Send: func(datagram []byte, to netip.AddrPort) error {
+			_, err := packets.WriteToUDPAddrPort(datagram, to)
+			return err
+		},
+		Connect: connect,
+		Serve:   func(ctx context.Context, checks http.Handler) error { return serve(ctx, readiness, checks) },
+		Store: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			MaxIdleConnsPerHost: catalogue.SourceCount,
+			DisableCompression:  true,
+		},
+		Now:   now,
+		Close: func() { _ = packets.Close() },
+	}, nil
+}
+
+func connect(ctx context.Context, to netip.AddrPort) error {
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp4", to.String())
+	if err != nil {
+		return err
+	}
+	return conn.Close()
+}
+
+func serve(ctx context.Context, listener net.Listener, checks http.Handler) error {
+	server := http.Server{Handler: checks, ReadHeaderTimeout: readHeaderTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrap(err, "serve health checks")
+	}
+	return nil
+}
+
+// now returns the time since the machine's start. Unlike the time of day it
+// never jumps, and unlike the steady clock it counts the time that the machine
+// was suspended, so that what is known is as old as it seems.
+func now() time.Time {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		return time.Now()
+	}
+	return time.Unix(t.Unix())
+}
--- a/entry/packets.go
+++ b/entry/packets.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/netip"
 	"time"
 
@@ -13,29 +12,16 @@
 	"github.com/rattanthread/rattanthread/platform"
 )
 
-const (
-	// receiveBuffer is the room for packets that wait to be read, in bytes.
-	receiveBuffer = 1 << 20
-	// startHold is how long packets may wait for the first catalogue. Callers
-	// send an unanswered packet again after 200 ms.
-	startHold = time.Second
-)
-
-func (h *Host) listenPackets() (*net.UDPConn, error) {
-	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(h.Settings.Listen.Packets))
-	if err != nil {
-		return nil, err
-	}
-	_ = conn.SetReadBuffer(receiveBuffer)
-	return conn, nil
-}
+// startHold is how long packets may wait for the first catalogue. Callers send
+// an unanswered packet again after 200 ms.
+const startHold = time.Second
 
 // forward decides on each packet until the socket is closed.
 func (h *Host) forward(ctx context.Context) error {
 	h.awaitReady(ctx)
 	datagram := make([]byte, platform.TagBytes+platform.MaxPacketBytes+1)
 	for {
-		n, _, err := h.packets.ReadFromUDPAddrPort(datagram[platform.TagBytes:])
+		n, err := h.network.Receive(datagram[platform.TagBytes:])
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -64,7 +50,7 @@
 	known := h.snapshot.Load()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.forwarder.Decide(now(), known.catalogue, known.confirmed, p)
+	return h.forwarder.Decide(h.network.Now(), known.catalogue, known.confirmed, p)
 }
 
 // act carries out a decision. The datagram has room for a tag before the packet.
@@ -72,7 +58,7 @@
 	switch d.Action {
 	case forwarding.Forward:
 		platform.Address(datagram, d.Server.Tag, d.Cookie)
-		_, _ = h.packets.WriteToUDPAddrPort(datagram, d.Server.Address)
+		_ = h.network.Send(datagram, d.Server.Address)
 	case forwarding.Refuse:
 		h.Logger.Info("reset", "flow", p.Source, "route", p.Destination, "reason", d.Reason.String())
 		h.reset(p)
@@ -93,7 +79,7 @@
 func (h *Host) reset(p forwarding.Packet) {
 	var buffer [platform.HeaderBytes]byte
 	port := h.Settings.Listen.Packets.Port()
-	_, _ = h.packets.WriteToUDPAddrPort(platform.AppendReset(buffer[:0], p), netip.AddrPortFrom(p.Source.Addr(), port))
+	_ = h.network.Send(platform.AppendReset(buffer[:0], p), netip.AddrPortFrom(p.Source.Addr(), port))
 }
 
 // resetFlows ends the flows of a server that can't serve them any more.
--- a/entry/probe.go
+++ b/entry/probe.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"syscall"
 	"time"
 
@@ -40,7 +39,7 @@
 // probeServer probes a server until it accepts a connection or its record ends.
 func (h *Host) probeServer(ctx context.Context, server *catalogue.Server) {
 	for {
-		reachable := accepts(ctx, server)
+		reachable := h.accepts(ctx, server)
 		if ctx.Err() != nil {
 			return
 		}
@@ -67,7 +66,7 @@
 
 // accepts reports whether a server accepts a connection. Several are tried, as
 // one packet may be lost; a host that refuses two has no server.
-func accepts(ctx context.Context, server *catalogue.Server) bool {
+func (h *Host) accepts(ctx context.Context, server *catalogue.Server) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTime)
 	defer cancel()
 	results := make(chan error, probeAttempts)
@@ -77,7 +76,7 @@
 	try := func() {
 		if tried < probeAttempts {
 			tried++
-			go func() { results <- connect(ctx, server) }()
+			go func() { results <- h.network.Connect(ctx, server.Address) }()
 		}
 	}
 	try()
@@ -101,11 +100,3 @@
 		}
 	}
 }
-
-func connect(ctx context.Context, server *catalogue.Server) error {
-	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp4", server.Address.String())
-	if err != nil {
-		return err
-	}
-	return conn.Close()
-}
--- a/entry/reader.go
+++ b/entry/reader.go
@@ -42,13 +42,13 @@
 	ctx, cancel := context.WithTimeout(ctx, call.Timeout)
 	defer cancel()
 	if call.Whole {
-		asked := now()
+		asked := r.host.network.Now()
 		answer, err := r.store.List(ctx, call.Source)
 		answer.Asked = asked
 		return answer, err
 	}
 	answer, err := r.store.Watch(ctx, call.Source, call.After, call.Wait)
-	answer.Asked = now()
+	answer.Asked = r.host.network.Now()
 	return answer, err
 }
 
--- /dev/null
+++ b/platformstandin/packet.go
@@ -0,0 +1,73 @@
+package platformstandin
+
+import (
+	"encoding/binary"
+	"net/netip"
+
+	"github.com/rattanthread/rattanthread/platform"
+)
+
+// flowID is the addresses of a flow, from client to route.
+type flowID struct{ client, route netip.AddrPort }
+
+// Flags of packets.
+const (
+	flagRST = 2
+	flagSYN = 8
+	flagFIN = 32
+	flagACK = 128
+)
+
+// segment is a packet of a client.
+type segment struct {
+	flow     flowID
+	flags    byte
+	echo     uint32
+	seq, ack uint32
+	request  uint64 // 0 for none
+}
+
+// requestBytes is the data of a request in a packet.
+const requestBytes = 8
+
+func (s *segment) encode() []byte {
+	b := make([]byte, platform.HeaderBytes, platform.HeaderBytes+requestBytes)
+	client, route := s.flow.client.Addr().As4(), s.flow.route.Addr().As4()
+	copy(b, client[:])
+	copy(b[4:], route[:])
+	binary.BigEndian.PutUint16(b[8:], s.flow.client.Port())
+	binary.BigEndian.PutUint16(b[10:], s.flow.route.Port())
+	binary.BigEndian.PutUint32(b[14:], s.echo)
+	binary.BigEndian.PutUint32(b[18:], s.seq)
+	binary.BigEndian.PutUint32(b[22:], s.ack)
+	b[30] = s.flags
+	if s.request != 0 {
+		binary.BigEndian.PutUint16(b[12:], requestBytes)
+		b = binary.BigEndian.AppendUint64(b, s.request)
+	}
+	return b
+}
+
+func decode(b []byte) (segment, bool) {
+	p, err := platform.ParsePacket(b)
+	if err != nil {
+		return segment{}, false
+	}
+	s := segment{flow: flowID{p.Source, p.Destination}, flags: b[30], echo: uint32(p.Cookie), seq: p.Seq, ack: p.Ack}
+	if p.Length == requestBytes {
+		s.request = binary.BigEndian.Uint64(b[platform.HeaderBytes:])
+	}
+	return s, true
+}
+
+// answer is a packet to a client: of a target, or a reset of an entry host.
+type answer struct {
+	flags   byte
+	echo    uint32
+	seq     uint32
+	request uint64
+	// refused says that the request has not run.
+	refused bool
+	// host is set on a reset by an entry host.
+	host bool
+}
--- /dev/null
+++ b/platformstandin/site_test.go
@@ -0,0 +1,50 @@
+package platformstandin_test
+
+import (
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/rattanthread/rattanthread/platformstandin"
+)
+
+// play runs a site in virtual time.
+func play(t *testing.T, trouble string, seed uint64) *platformstandin.Report {
+	t.Helper()
+	var report *platformstandin.Report
+	synctest.Test(t, func(t *testing.T) {
+		found, ok := platformstandin.FindTrouble(trouble)
+		if !ok {
+			t.Fatalf("no trouble %s", trouble)
+		}
+		site := platformstandin.Site{
+			Zones: []string{"a", "b", "c"}, HostsPerZone: 2, TargetsPerZone: 4, ClientsPerZone: 12, Loss: 0.001, Seed: seed,
+		}
+		report = site.Run(18*time.Second, found)
+	})
+	return report
+}
+
+func TestTroubles(t *testing.T) {
+	// served is the least share of requests that must be answered.
+	tests := map[string]float64{
+		"none": 0.999, "crash_dark": 0.98, "crash_refusing": 0.99, "drain": 0.99, "evacuate": 0.99,
+		"burst": 0.95, "stop_hosts": 0.995, "kill_hosts": 0.92, "cut_zone": 0.98, "store_busy": 0.99,
+		"store_many": 0.99, "store_silent": 0.99, "store_cut": 0.99, "store_slow": 0.99, "store_stale": 0.99,
+		"store_forgets": 0.99, "store_refuses_hosts": 0.99, "records_lapse": 0.99, "hosts_start_blind": 0.99,
+	}
+	for _, trouble := range platformstandin.Troubles() {
+		t.Run(trouble.Name, func(t *testing.T) {
+			is := is.New(t)
+			report := play(t, trouble.Name, 1)
+			if testing.Verbose() {
+				is.NoErr(report.WriteTable(os.Stdout))
+			}
+			is.Equal(len(report.Broken), 0) // rules broken
+			is.True(report.Served() >= tests[trouble.Name])
+		})
+	}
+}
