Let one host of each data centre read the store, and feed the others

Change: hosts register once in the store, rank each other by a hash and learn over WebSocket with CBOR from the best one that answers; that one reads the store. A feed that is silent for 1 s, or late, is left and the store read. A host that knows nothing asks its seeds. Each update carries versions and ages.

Found on the way: a reader that takes a version learned from a peer for one that the store still has asks for a forgotten history for ever.

--- a/catalogue/catalogue.go
+++ b/catalogue/catalogue.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"net/netip"
 	"slices"
-	"time"
 
 	"github.com/rattanthread/rattanthread/fleet"
 )
@@ -15,13 +14,12 @@
 	Number uint64
 	// Configuration is nil while none is known.
 	Configuration *Configuration
-	// Ages of what the catalogue was made from.
-	Confirmed [sourceCount]time.Time
 
 	routes  map[netip.AddrPort]*Route
 	servers map[Cookie]*Server
 	gone    map[Cookie]bool
 	pools   map[fleet.ServiceName][]*Server
+	hosts   []fleet.Host
 	count   int
 }
 
@@ -43,6 +41,14 @@
 // Pool returns the servers of a service that may get new flows.
 func (c *Catalogue) Pool(service fleet.ServiceName) []*Server { return c.pools[service] }
 
+// Hosts returns the entry hosts that have registered.
+func (c *Catalogue) Hosts() []fleet.Host {
+	if c == nil {
+		return nil
+	}
+	return c.hosts
+}
+
 // Servers returns how many servers are known.
 func (c *Catalogue) Servers() int { return c.count }
 
--- a/catalogue/configuration.go
+++ b/catalogue/configuration.go
@@ -12,35 +12,35 @@
 
 // Configuration is what operators have put in force.
 type Configuration struct {
-	Number uint64
-	Routes []Route
+	Number uint64  `cbor:"number"`
+	Routes []Route `cbor:"routes"`
 	// Services holds what is known of each service, by name.
-	Services map[fleet.ServiceName]Service
+	Services map[fleet.ServiceName]Service `cbor:"services"`
 	// IdleTimeout is how long a flow may be idle before it may be discarded.
-	IdleTimeout time.Duration
+	IdleTimeout time.Duration `cbor:"idle_timeout"`
 }
 
 // Service is what the configuration says of a service.
 type Service struct {
-	Name fleet.ServiceName
+	Name fleet.ServiceName `cbor:"name"`
 	// Warmup is how long a server bears little load after its start.
-	Warmup time.Duration
+	Warmup time.Duration `cbor:"warmup"`
 	// ColdRate is how many requests a second a cold server bears. Zero means
 	// that the configuration does not say.
-	ColdRate float64
+	ColdRate float64 `cbor:"cold_rate"`
 }
 
 // Route sends the flows to one address to services.
 type Route struct {
-	Name    string
-	Address netip.AddrPort
-	Shares  []Share
+	Name    string         `cbor:"name"`
+	Address netip.AddrPort `cbor:"address"`
+	Shares  []Share        `cbor:"shares"`
 }
 
 // Share is the part of a route's new flows that goes to a service.
 type Share struct {
-	Service fleet.ServiceName
-	Weight  int
+	Service fleet.ServiceName `cbor:"service"`
+	Weight  int               `cbor:"weight"`
 }
 
 // pick returns the service of a new flow, by a hash of the flow.
--- a/catalogue/follower.go
+++ b/catalogue/follower.go
@@ -19,6 +19,8 @@
 	// maxWait bounds the time that a watch waits: a watch that has gone silent
 	// is noticed only when that and callTimeout are over.
 	maxWait = 1600 * time.Millisecond
+	// hostsWait is that of entry hosts, of which nothing has to be known in time.
+	hostsWait = 10 * time.Second
 	// callTimeout is how long a call may take beyond the time it waits.
 	callTimeout = 600 * time.Millisecond
 	// firstPause and maxPause bound the pause after failed calls.
@@ -36,16 +38,28 @@
 	Bound time.Duration
 
 	version Version
-	failed  int
+	// forgotten says that the store has no history after version.
+	forgotten bool
+	failed    int
+}
+
+// Learned takes in a version that is known from another source than the store.
+func (f *Follower) Learned(version Version) {
+	if version > f.version {
+		f.version, f.forgotten = version, false
+	}
 }
 
 // Next returns the next call. After a failed one the store is asked for an
 // immediate answer, so that its return is noticed at once.
 func (f *Follower) Next() Call {
-	if f.version == 0 {
+	if f.version == 0 || f.forgotten {
 		return Call{Source: f.Source, Whole: true, Timeout: callTimeout}
 	}
 	wait := min(f.Bound/3, maxWait)
+	if f.Source == Hosts {
+		wait = hostsWait
+	}
 	if f.failed > 0 {
 		wait = 0
 	}
@@ -55,7 +69,7 @@
 // Answered takes in an answer. It reports whether the store was lost before.
 func (f *Follower) Answered(version Version) bool {
 	regained := f.failed > 0
-	f.failed = 0
+	f.failed, f.forgotten = 0, false
 	f.version = max(version, f.version)
 	return regained
 }
@@ -69,4 +83,4 @@
 
 // Forgotten takes in that the store has forgotten the changes after the known
 // version. All records are asked for next.
-func (f *Follower) Forgotten() { f.version = 0 }
+func (f *Follower) Forgotten() { f.forgotten = true }
--- a/catalogue/follower_test.go
+++ b/catalogue/follower_test.go
@@ -43,3 +43,16 @@
 	f.Answered(5)
 	is.Equal(f.Next().After, catalogue.Version(7))
 }
+
+// TestForgottenHistoryStaysForgotten is the endless loop of a reader that takes
+// the version it knows from elsewhere for one that the store still has.
+func TestForgottenHistoryStaysForgotten(t *testing.T) {
+	is := is.New(t)
+	f := catalogue.Follower{Bound: 3 * time.Second}
+	f.Answered(7)
+	f.Forgotten()
+	f.Learned(7)
+	is.True(f.Next().Whole)
+	f.Learned(9) // a peer knows what has changed since
+	is.Equal(f.Next().After, catalogue.Version(9))
+}
--- a/catalogue/server.go
+++ b/catalogue/server.go
@@ -36,31 +36,33 @@
 // Server is a registered backend server. It is immutable once it is part of a
 // Catalogue.
 type Server struct {
-	ID         fleet.ServerID
-	Service    fleet.ServiceName
-	Address    netip.AddrPort
-	DataCentre fleet.DataCentreID
+	ID         fleet.ServerID     `cbor:"id"`
+	Service    fleet.ServiceName  `cbor:"service"`
+	Address    netip.AddrPort     `cbor:"address"`
+	DataCentre fleet.DataCentreID `cbor:"data_centre"`
 	// Tag is the number by which a datagram names the server it is meant for.
-	Tag uint64
+	Tag uint64 `cbor:"tag"`
 	// Slots is how many requests the server works on at once.
-	Slots int
+	Slots int `cbor:"slots"`
 	// Draining servers finish their flows and get no new ones.
-	Draining bool
+	Draining bool `cbor:"draining,omitempty"`
 	// Cold is how much longer the server bears little load, counted from the
 	// moment at which this record was received.
-	Cold time.Duration
+	Cold time.Duration `cbor:"cold,omitempty"`
 	// Started tells two starts under one id apart.
-	Started int64
-	// Created and Changed are the store's revisions of the record.
-	Created, Changed Version
+	Started int64 `cbor:"started"`
+	// Created and Changed are the store's revisions of the record: its first and
+	// its last.
+	Created Version `cbor:"created"`
+	Changed Version `cbor:"changed"`
 
 	// WarmAt is when the server can bear full load.
-	WarmAt time.Time
+	WarmAt time.Time `cbor:"-"`
 	// Cookie names the server in packets. Zero if an older server has the same
 	// cookie, in which case this one gets no flow.
-	Cookie Cookie
+	Cookie Cookie `cbor:"-"`
 	// Index numbers the servers of a catalogue from 0.
-	Index int
+	Index int `cbor:"-"`
 }
 
 // IsCold reports whether the server still bears little load.
--- a/catalogue/tracker.go
+++ b/catalogue/tracker.go
@@ -17,11 +17,13 @@
 	Configurations Source = iota
 	Evacuations
 	Servers
+	// Hosts are the entry hosts, by which they find each other.
+	Hosts
 
 	sourceCount
 )
 
-var sourceNames = [...]string{"configurations", "evacuations", "servers"}
+var sourceNames = [...]string{"configurations", "evacuations", "servers", "hosts"}
 
 // String returns the name of the source in lower case.
 func (s Source) String() string { return sourceNames[s] }
@@ -39,25 +41,26 @@
 // Record is one record of a source, or the news that it was removed.
 type Record struct {
 	// Name is the record's name in the store.
-	Name    string
-	Changed Version
-	Removed bool
+	Name    string  `cbor:"name"`
+	Changed Version `cbor:"changed"`
+	Removed bool    `cbor:"removed,omitempty"`
 	// One of these holds the content, unless it could not be read or the
 	// record is that of a data centre that is taken out.
-	Configuration *Configuration
-	Server        *Server
+	Configuration *Configuration `cbor:"configuration,omitempty"`
+	Server        *Server        `cbor:"server,omitempty"`
+	Host          *fleet.Host    `cbor:"host,omitempty"`
 }
 
 // Answer is what the store said of one source.
 type Answer struct {
-	Source Source
+	Source Source `cbor:"source"`
 	// Whole means that Records are all the records there are.
-	Whole   bool
-	Records []Record
+	Whole   bool     `cbor:"whole,omitempty"`
+	Records []Record `cbor:"records,omitempty"`
 	// Version is the store's revision of the answer.
-	Version Version
-	// Asked is when the question was sent.
-	Asked time.Time
+	Version Version `cbor:"version"`
+	// Asked is the time at which the answer held.
+	Asked time.Time `cbor:"-"`
 }
 
 // Change is one thing that a Tracker believes since an answer.
@@ -120,6 +123,7 @@
 	evacuated            map[fleet.DataCentreID]bool
 	servers              map[string]*tracked
 	gone                 map[Cookie]time.Time
+	hosts                map[string]Record
 }
 
 // tracked is a server and what became of its record.
@@ -135,6 +139,9 @@
 // Version returns the store's revision up to which a source is known.
 func (t *Tracker) Version(s Source) Version { return t.versions[s] }
 
+// Confirmed returns when a source was last known to be as it is.
+func (t *Tracker) Confirmed(s Source) time.Time { return t.confirmed[s] }
+
 // Known reports whether a source has been read in whole.
 func (t *Tracker) Known(s Source) bool { return t.listed[s] }
 
@@ -146,7 +153,9 @@
 	}
 	t.noteReturn(now, a)
 	t.versions[a.Source] = a.Version
-	t.confirmed[a.Source] = a.Asked
+	if a.Asked.After(t.confirmed[a.Source]) {
+		t.confirmed[a.Source] = a.Asked
+	}
 	t.listed[a.Source] = t.listed[a.Source] || a.Whole
 	changed := t.apply(now, a)
 	changed = t.expire(now) || changed
@@ -193,6 +202,8 @@
 		return t.applyEvacuations(a)
 	case Servers:
 		return t.applyServers(now, a)
+	case Hosts:
+		return t.applyHosts(a)
 	}
 	return false
 }
@@ -257,6 +268,53 @@
 	return changed
 }
 
+func (t *Tracker) applyHosts(a Answer) bool {
+	if a.Whole || t.hosts == nil {
+		t.hosts = make(map[string]Record)
+	}
+	for _, record := range a.Records {
+		if record.Removed || record.Host == nil {
+			delete(t.hosts, record.Name)
+		} else {
+			t.hosts[record.Name] = record
+		}
+	}
+	return a.Whole || len(a.Records) > 0
+}
+
+// Whole returns all that is known of a source, as an answer of the store.
+func (t *Tracker) Whole(now time.Time, source Source) Answer {
+	a := Answer{Source: source, Whole: true, Version: t.versions[source], Asked: t.confirmed[source]}
+	switch source {
+	case Configurations:
+		if t.configuration != nil {
+			a.Records = []Record{{Name: "main", Changed: t.configurationVersion, Configuration: t.configuration}}
+		}
+	case Evacuations:
+		for id := range t.evacuated {
+			a.Records = append(a.Records, Record{Name: string(id), Changed: a.Version})
+		}
+	case Servers:
+		a.Records = t.serverRecords(now)
+	case Hosts:
+		a.Records = slices.Collect(maps.Values(t.hosts))
+	}
+	return a
+}
+
+func (t *Tracker) serverRecords(now time.Time) []Record {
+	var records []Record
+	for name, held := range t.servers {
+		if !held.lapsed.IsZero() {
+			continue
+		}
+		server := *held.server
+		server.Cold = max(0, server.WarmAt.Sub(now))
+		records = append(records, Record{Name: name, Changed: server.Changed, Server: &server})
+	}
+	return records
+}
+
 // lapseMissing marks the servers that a whole answer does not name.
 func (t *Tracker) lapseMissing(now time.Time, records []Record, version Version) {
 	present := make(map[string]bool, len(records))
@@ -356,7 +414,6 @@
 	c := &Catalogue{
 		Number:        t.number,
 		Configuration: t.configuration,
-		Confirmed:     t.confirmed,
 		routes:        make(map[netip.AddrPort]*Route),
 		gone:          make(map[Cookie]bool, len(t.gone)),
 		pools:         make(map[fleet.ServiceName][]*Server),
@@ -379,6 +436,9 @@
 			c.pools[server.Service] = append(c.pools[server.Service], server)
 		}
 	}
+	for _, record := range t.hosts {
+		c.hosts = append(c.hosts, *record.Host)
+	}
 	for cookie := range t.gone {
 		c.gone[cookie] = c.servers[cookie] == nil
 	}
--- a/control/imports_test.go
+++ b/control/imports_test.go
@@ -19,7 +19,7 @@
 // one except for the file that loads declarations.
 var decisionPackages = []string{
 	"backend", "catalogue", "control", "datacentre", "fleet", "flow", "forwarding", "membership", "placement", "request",
-	"rollout",
+	"rollout", "upstream",
 }
 
 // forbiddenImports bring I/O, a network, goroutines' tools or a clock of their own.
--- /dev/null
+++ b/entry/control.go
@@ -0,0 +1,121 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/rattanthread/rattanthread/catalogue"
+	"github.com/rattanthread/rattanthread/forwarding"
+)
+
+// tickTime is how often the control loop looks for what has expired.
+const tickTime = 500 * time.Millisecond
+
+// control is the one goroutine that owns what the host knows. It publishes a
+// snapshot for the others and feeds the hosts that have joined.
+type control struct {
+	host        *Host
+	tracker     catalogue.Tracker
+	subscribers map[*subscriber]bool
+}
+
+func (c *control) run(ctx context.Context) error {
+	c.subscribers = make(map[*subscriber]bool)
+	tick := time.NewTicker(tickTime)
+	defer tick.Stop()
+	for {
+		changed := false
+		select {
+		case <-ctx.Done():
+			return nil
+		case answers := <-c.host.answers:
+			for _, a := range answers {
+				changed = c.take(a) || changed
+			}
+		case s := <-c.host.joins:
+			c.join(s)
+			continue
+		case <-tick.C:
+			changed = c.tracker.Tick(c.host.network.Now())
+		}
+		c.publish(changed)
+	}
+}
+
+// take takes in an answer and passes its changes on.
+func (c *control) take(a catalogue.Answer) bool {
+	newer := a.Version > c.tracker.Version(a.Source)
+	changed := c.tracker.Take(c.host.network.Now(), a)
+	if newer {
+		for s := range c.subscribers {
+			c.pass(s, a)
+		}
+	}
+	return changed
+}
+
+// join adds a host that learns from this one, and tells it what it lacks.
+func (c *control) join(s *subscriber) {
+	if s.left {
+		delete(c.subscribers, s)
+		return
+	}
+	c.subscribers[s] = true
+	for source := range catalogue.Source(catalogue.SourceCount) {
+		if c.tracker.Known(source) && c.tracker.Version(source) > s.versions[source] {
+			c.pass(s, c.tracker.Whole(c.host.network.Now(), source))
+		}
+	}
+}
+
+// pass hands an answer to a subscriber. One that is too slow is dropped.
+func (c *control) pass(s *subscriber, a catalogue.Answer) {
+	select {
+	case s.answers <- a:
+	default:
+		delete(c.subscribers, s)
+		s.drop()
+	}
+}
+
+// publish makes a snapshot, and acts on what has changed.
+func (c *control) publish(changed bool) {
+	h := c.host
+	next := &snapshot{catalogue: c.tracker.Current()}
+	for source := range catalogue.Source(catalogue.SourceCount) {
+		next.versions[source] = c.tracker.Version(source)
+		next.confirmed[source] = c.tracker.Confirmed(source)
+	}
+	before := h.snapshot.Swap(next).catalogue
+	if !before.Ready() && next.catalogue.Ready() {
+		close(h.ready)
+		h.Logger.Info("ready", "catalogue", next.catalogue.Number, "servers", next.catalogue.Servers())
+	}
+	if !changed {
+		return
+	}
+	c.logChanges()
+	h.endFlows(before, next.catalogue)
+}
+
+// logChanges writes a line for each change of what the host believes.
+func (c *control) logChanges() {
+	current := c.tracker.Current()
+	for _, change := range c.tracker.Changes() {
+		c.host.Logger.Info(change.Kind.String(), "name", change.Name, "cookie", change.Cookie, "version", change.Version,
+			"configuration", change.Number, "catalogue", current.Number, "servers", current.Servers())
+	}
+}
+
+// endFlows resets the flows of the servers that have ended since before.
+func (h *Host) endFlows(before, after *catalogue.Catalogue) {
+	for cookie, gone := range after.Gone() {
+		if !gone || (before != nil && before.IsGone(cookie)) {
+			continue
+		}
+		h.mu.Lock()
+		flows := h.forwarder.Ended(cookie)
+		h.mu.Unlock()
+		h.resetFlows(flows, cookie, forwarding.ServerGone)
+	}
+}
--- /dev/null
+++ b/entry/feed.go
@@ -0,0 +1,325 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-faster/errors"
+
+	"github.com/rattanthread/rattanthread/catalogue"
+	"github.com/rattanthread/rattanthread/fleet"
+	"github.com/rattanthread/rattanthread/upstream"
+)
+
+// Times of the feed between hosts.
+const (
+	// feedTime is how often a host tells the ages of what it knows.
+	feedTime = 400 * time.Millisecond
+	// feedSilence is how long a feed may send nothing.
+	feedSilence = time.Second
+	// feedPause is the time until a host without an upstream looks for one.
+	feedPause = time.Second
+	// feedDial bounds the opening of a stream.
+	feedDial = 400 * time.Millisecond
+	// blindTime is how long a host that knows nothing waits for the store before
+	// it asks its seeds.
+	blindTime = 300 * time.Millisecond
+	// maxFeedBytes bounds a message of a feed.
+	maxFeedBytes = 8 << 20
+	// feedQueue is how many answers wait for a slow subscriber.
+	feedQueue = 256
+)
+
+// Stream carries messages between two hosts. All fields must be set.
+type Stream struct {
+	Send    func(ctx context.Context, message []byte) error
+	Receive func(ctx context.Context) ([]byte, error)
+	Close   func()
+}
+
+// hello opens a feed: it tells what the asking host knows already.
+type hello struct {
+	Host     fleet.HostID                             `cbor:"host"`
+	Versions [catalogue.SourceCount]catalogue.Version `cbor:"versions"`
+}
+
+// update is a message of a feed.
+type update struct {
+	Answers []catalogue.Answer `cbor:"answers,omitempty"`
+	// Ages tell how long ago each source was confirmed, and Known which are known.
+	Ages  [catalogue.SourceCount]time.Duration `cbor:"ages"`
+	Known [catalogue.SourceCount]bool          `cbor:"known"`
+	// Versions are those up to which each source is known.
+	Versions [catalogue.SourceCount]catalogue.Version `cbor:"versions"`
+}
+
+// subscriber is a host that learns from this one.
+type subscriber struct {
+	versions [catalogue.SourceCount]catalogue.Version
+	answers  chan catalogue.Answer
+	// drop ends the feed.
+	drop context.CancelFunc
+	left bool
+}
+
+// ServeFeed tells another host what this one learns, until ctx or the stream ends.
+func (h *Host) ServeFeed(ctx context.Context, stream *Stream) {
+	defer stream.Close()
+	message, err := stream.Receive(ctx)
+	if err != nil {
+		return
+	}
+	var asked hello
+	if err := cbor.Unmarshal(message, &asked); err != nil {
+		h.Logger.Warn("feed refused", "error", err)
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s := &subscriber{versions: asked.Versions, answers: make(chan catalogue.Answer, feedQueue), drop: cancel}
+	if !h.join(ctx, s) {
+		return
+	}
+	h.Logger.Info("feed opened", "peer", asked.Host)
+	err = h.sendUpdates(ctx, stream, s)
+	h.Logger.Info("feed closed", "peer", asked.Host, "error", err)
+	h.join(context.WithoutCancel(ctx), &subscriber{left: true})
+}
+
+func (h *Host) join(ctx context.Context, s *subscriber) bool {
+	select {
+	case h.joins <- s:
+		return true
+	case <-ctx.Done():
+		return false
+	case <-h.done:
+		return false
+	}
+}
+
+// sendUpdates sends each change at once, and the ages every feedTime.
+func (h *Host) sendUpdates(ctx context.Context, stream *Stream, s *subscriber) error {
+	tick := time.NewTicker(feedTime)
+	defer tick.Stop()
+	for {
+		var answers []catalogue.Answer
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case a := <-s.answers:
+			answers = drain(s.answers, []catalogue.Answer{a})
+		case <-tick.C:
+			answers = drain(s.answers, nil)
+		}
+		message, err := cbor.Marshal(h.update(answers))
+		if err != nil {
+			return errors.Wrap(err, "encode update")
+		}
+		sending, cancel := context.WithTimeout(ctx, feedSilence)
+		err = stream.Send(sending, message)
+		cancel()
+		if err != nil {
+			return errors.Wrap(err, "send update")
+		}
+	}
+}
+
+func drain(queue <-chan catalogue.Answer, answers []catalogue.Answer) []catalogue.Answer {
+	for {
+		select {
+		case a := <-queue:
+			answers = append(answers, a)
+		default:
+			return answers
+		}
+	}
+}
+
+// update describes what this host knows now.
+func (h *Host) update(answers []catalogue.Answer) update {
+	known, now := h.snapshot.Load(), h.network.Now()
+	u := update{Answers: answers, Versions: known.versions}
+	for source, confirmed := range known.confirmed {
+		u.Known[source] = !confirmed.IsZero()
+		u.Ages[source] = max(0, now.Sub(confirmed))
+	}
+	return u
+}
+
+// feedClient learns from another host, as long as one is better placed to read
+// the store.
+type feedClient struct {
+	host    *Host
+	chooser upstream.Chooser
+}
+
+func (f *feedClient) run(ctx context.Context) error {
+	h := f.host
+	f.chooser.Self = h.self()
+	started := h.network.Now()
+	pause := time.NewTimer(blindTime)
+	defer pause.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-pause.C:
+		}
+		if to, ok := f.next(started); ok {
+			err := f.follow(ctx, to)
+			h.fedUntil.Store(0)
+			if ctx.Err() != nil {
+				return nil
+			}
+			f.chooser.Failed(h.network.Now(), to)
+			h.Logger.Info("upstream lost", "peer", to, "error", err)
+		}
+		pause.Reset(feedPause)
+	}
+}
+
+// next returns the address to learn from. Seeds are asked only by a host that
+// knows nothing.
+func (f *feedClient) next(started time.Time) (netip.AddrPort, bool) {
+	h := f.host
+	now := h.network.Now()
+	known := h.snapshot.Load().catalogue
+	if known.Ready() {
+		peer, ok := f.chooser.Choose(now, known.Hosts())
+		return peer.PeerAddress, ok
+	}
+	if now.Sub(started) < blindTime {
+		return netip.AddrPort{}, false
+	}
+	return f.chooser.Seed(now, h.Settings.Peers.Seeds)
+}
+
+// follow learns from a host until it falls silent or late.
+func (f *feedClient) follow(ctx context.Context, to netip.AddrPort) error {
+	h := f.host
+	dialing, cancel := context.WithTimeout(ctx, feedDial)
+	defer cancel()
+	stream, err := h.network.DialFeed(dialing, to)
+	if err != nil {
+		return errors.Wrap(err, "dial")
+	}
+	defer stream.Close()
+	message, err := cbor.Marshal(hello{Host: h.Settings.Host, Versions: h.snapshot.Load().versions})
+	if err != nil {
+		return errors.Wrap(err, "encode hello")
+	}
+	if err := stream.Send(dialing, message); err != nil {
+		return errors.Wrap(err, "send hello")
+	}
+	fresh := upstream.Freshness{Limit: h.Settings.Bounds.Configuration / 2, Silence: feedSilence}
+	blind := !h.snapshot.Load().catalogue.Ready()
+	for {
+		if err := f.receive(ctx, stream, &fresh); err != nil {
+			return err
+		}
+		if !blind && !fresh.Fresh(h.network.Now()) {
+			return errors.New("late")
+		}
+	}
+}
+
+// receive takes in one update.
+func (f *feedClient) receive(ctx context.Context, stream *Stream, fresh *upstream.Freshness) error {
+	h := f.host
+	waiting, cancel := context.WithTimeout(ctx, feedSilence)
+	defer cancel()
+	message, err := stream.Receive(waiting)
+	if err != nil {
+		return errors.Wrap(err, "receive update")
+	}
+	var u update
+	if err := cbor.Unmarshal(message, &u); err != nil {
+		return errors.Wrap(err, "decode update")
+	}
+	now := h.network.Now()
+	answers, oldest := u.answers(now)
+	select {
+	case h.answers <- answers:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	fresh.Heard(now, oldest)
+	if fresh.Fresh(now) {
+		h.fedUntil.Store(now.Add(feedSilence).UnixNano())
+	}
+	return nil
+}
+
+// answers returns an update as answers of the store, with the age of the oldest
+// source that has to be fresh.
+func (u *update) answers(now time.Time) ([]catalogue.Answer, time.Duration) {
+	answers := u.Answers
+	oldest := time.Duration(0)
+	for i := range answers {
+		answers[i].Asked = now.Add(-u.Ages[answers[i].Source])
+	}
+	for source := range catalogue.Source(catalogue.SourceCount) {
+		age := u.Ages[source]
+		if !u.Known[source] {
+			age = time.Hour
+		}
+		if source != catalogue.Hosts {
+			oldest = max(oldest, age)
+		}
+		if u.Known[source] {
+			answers = append(answers, catalogue.Answer{Source: source, Version: u.Versions[source], Asked: now.Add(-age)})
+		}
+	}
+	return answers, oldest
+}
+
+func (h *Host) self() fleet.Host {
+	return fleet.Host{ID: h.Settings.Host, DataCentre: h.Settings.DataCentre, PeerAddress: h.Settings.Listen.Peers}
+}
+
+// feedPath is where hosts accept feeds.
+const feedPath = "/feed"
+
+// acceptFeed returns the handler that turns requests for a feed into streams.
+func acceptFeed(accept func(context.Context, *Stream)) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc(feedPath, func(w http.ResponseWriter, r *http.Request) {
+		conn, err := websocket.Accept(w, r, nil)
+		if err != nil {
+			return
+		}
+		accept(r.Context(), newStream(conn))
+	})
+	return mux
+}
+
+func dialFeed(ctx context.Context, to netip.AddrPort) (*Stream, error) {
+	conn, response, err := websocket.Dial(ctx, "ws://"+to.String()+feedPath, nil)
+	if response != nil && response.Body != nil {
+		_ = response.Body.Close()
+	}
+	if err != nil {
+		return nil, err
+	}
+	return newStream(conn), nil
+}
+
+func newStream(conn *websocket.Conn) *Stream {
+	conn.SetReadLimit(maxFeedBytes)
+	var once sync.Once
+	return &Stream{
+		Send: func(ctx context.Context, message []byte) error {
+			return conn.Write(ctx, websocket.MessageBinary, message)
+		},
+		Receive: func(ctx context.Context) ([]byte, error) {
+			_, message, err := conn.Read(ctx)
+			return message, err
+		},
+		Close: func() { once.Do(func() { _ = conn.CloseNow() }) },
+	}
+}
--- a/entry/host.go
+++ b/entry/host.go
@@ -35,14 +35,19 @@
 	stopping  atomic.Bool
 	// ready is closed at the first catalogue that suffices to forward.
 	ready   chan struct{}
-	answers chan catalogue.Answer
+	answers chan []catalogue.Answer
+	joins   chan *subscriber
+	done    <-chan struct{}
+	// fedUntil is how long the upstream is relied on, in nanoseconds since 1970.
+	fedUntil atomic.Int64
 }
 
 // snapshot is what the control loop publishes for the other goroutines.
 type snapshot struct {
 	catalogue *catalogue.Catalogue
-	// confirmed is when the configuration was last known to be in force.
-	confirmed time.Time
+	// versions and confirmed tell how far each source is known, and since when.
+	versions  [catalogue.SourceCount]catalogue.Version
+	confirmed [catalogue.SourceCount]time.Time
 }
 
 // Run serves until ctx ends, then stops without cutting a flow: it leaves the
@@ -55,17 +60,22 @@
 	h.forwarder.Chooser.DataCentre = h.Settings.DataCentre
 	h.probes = make(chan *catalogue.Server, maxProbes)
 	h.ready = make(chan struct{})
-	h.answers = make(chan catalogue.Answer, catalogue.SourceCount)
+	h.answers = make(chan []catalogue.Answer, catalogue.SourceCount)
+	h.joins = make(chan *subscriber)
 	h.snapshot.Store(&snapshot{})
 	work, stopWork := context.WithCancel(context.Background())
 	defer stopWork()
 	group, work := errgroup.WithContext(work)
+	h.done = work.Done()
 	store := platform.Store{Address: h.Settings.Store.Address.String(), HTTP: &http.Client{Transport: h.network.Store}}
 	for source := range catalogue.Source(catalogue.SourceCount) {
 		reader := storeReader{host: h, store: &store, follower: catalogue.Follower{Source: source, Bound: h.bound(source)}}
 		group.Go(func() error { return reader.run(work) })
 	}
-	group.Go(func() error { return h.control(work) })
+	group.Go(func() error { return (&control{host: h}).run(work) })
+	group.Go(func() error { return (&feedClient{host: h}).run(work) })
+	group.Go(func() error { return h.register(work, &store) })
+	group.Go(func() error { return h.network.ServeFeed(work, h.ServeFeed) })
 	group.Go(func() error { return h.forward(work) })
 	group.Go(func() error { return h.probe(work) })
 	group.Go(func() error { return h.network.Serve(work, http.HandlerFunc(h.answerReadiness)) })
@@ -85,7 +95,7 @@
 		return h.Settings.Bounds.Drain
 	case catalogue.Evacuations:
 		return h.Settings.Bounds.Evacuation
-	case catalogue.Configurations:
+	case catalogue.Configurations, catalogue.Hosts:
 	}
 	return h.Settings.Bounds.Configuration
 }
@@ -117,55 +127,3 @@
 	case <-work.Done():
 	}
 }
-
-// control owns the tracker and publishes what it makes of the store's answers.
-func (h *Host) control(ctx context.Context) error {
-	var tracker catalogue.Tracker
-	tick := time.NewTicker(500 * time.Millisecond)
-	defer tick.Stop()
-	var confirmed time.Time
-	for {
-		changed := false
-		select {
-		case <-ctx.Done():
-			return nil
-		case answer := <-h.answers:
-			changed = tracker.Take(h.network.Now(), answer)
-			if answer.Source == catalogue.Configurations {
-				confirmed = answer.Asked
-			}
-		case <-tick.C:
-			changed = tracker.Tick(h.network.Now())
-		}
-		before := h.snapshot.Load().catalogue
-		h.snapshot.Store(&snapshot{catalogue: tracker.Current(), confirmed: confirmed})
-		if !before.Ready() && tracker.Current().Ready() {
-			close(h.ready)
-		}
-		if changed {
-			h.logChanges(tracker.Changes(), tracker.Current())
-			h.endFlows(before, tracker.Current())
-		}
-	}
-}
-
-// endFlows resets the flows of the servers that have ended since before.
-func (h *Host) endFlows(before, after *catalogue.Catalogue) {
-	for cookie, gone := range after.Gone() {
-		if !gone || (before != nil && before.IsGone(cookie)) {
-			continue
-		}
-		h.mu.Lock()
-		flows := h.forwarder.Ended(cookie)
-		h.mu.Unlock()
-		h.resetFlows(flows, cookie, forwarding.ServerGone)
-	}
-}
-
-// logChanges writes a line for each change of what the host believes.
-func (h *Host) logChanges(changes []catalogue.Change, c *catalogue.Catalogue) {
-	for _, change := range changes {
-		h.Logger.Info(change.Kind.String(), "name", change.Name, "cookie", change.Cookie, "version", change.Version,
-			"configuration", change.Number, "catalogue", c.Number, "servers", c.Servers())
-	}
-}
--- a/entry/network.go
+++ b/entry/network.go
@@ -32,6 +32,10 @@
 	Connect func(ctx context.Context, to netip.AddrPort) error
 	// Serve answers health checks until ctx ends.
 	Serve func(ctx context.Context, checks http.Handler) error
+	// ServeFeed accepts the streams of other hosts until ctx ends.
+	ServeFeed func(ctx context.Context, accept func(context.Context, *Stream)) error
+	// DialFeed opens a stream to another host.
+	DialFeed func(ctx context.Context, to netip.AddrPort) (*Stream, error)
 	// Store carries the calls on the store.
 	Store http.RoundTripper
 	// Now tells the time. Suspended time counts.
@@ -52,6 +56,12 @@
 		_ = packets.Close()
 		return Network{}, errors.Wrap(err, "listen.readiness")
 	}
+	peers, err := net.Listen("tcp4", s.Listen.Peers.String())
+	if err != nil {
+		_ = packets.Close()
+		_ = readiness.Close()
+		return Network{}, errors.Wrap(err, "listen.peers")
+	}
 	return Network{
 		Receive: func(buffer []byte) (int, error) {
 			n, _, err := packets.ReadFromUDPAddrPort(buffer)
@@ -63,6 +73,10 @@
 		},
 		Connect: connect,
 		Serve:   func(ctx context.Context, checks http.Handler) error { return serve(ctx, readiness, checks) },
+		ServeFeed: func(ctx context.Context, accept func(context.Context, *Stream)) error {
+			return serve(ctx, peers, acceptFeed(accept))
+		},
+		DialFeed: dialFeed,
 		Store: &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 			MaxIdleConnsPerHost: catalogue.SourceCount,
@@ -86,7 +100,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		return errors.Wrap(err, "serve health checks")
+		return errors.Wrap(err, "serve")
 	}
 	return nil
 }
--- a/entry/packets.go
+++ b/entry/packets.go
@@ -50,7 +50,7 @@
 	known := h.snapshot.Load()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.forwarder.Decide(h.network.Now(), known.catalogue, known.confirmed, p)
+	return h.forwarder.Decide(h.network.Now(), known.catalogue, known.confirmed[catalogue.Configurations], p)
 }
 
 // act carries out a decision. The datagram has room for a tag before the packet.
--- a/entry/reader.go
+++ b/entry/reader.go
@@ -19,6 +19,9 @@
 
 func (r *storeReader) run(ctx context.Context) error {
 	for ctx.Err() == nil {
+		if r.awaitTurn(ctx) {
+			continue
+		}
 		answer, err := r.ask(ctx, r.follower.Next())
 		if ctx.Err() != nil {
 			return nil
@@ -31,13 +34,29 @@
 			r.host.Logger.Info("store regained", "source", answer.Source.String(), "version", answer.Version)
 		}
 		select {
-		case r.host.answers <- answer:
+		case r.host.answers <- []catalogue.Answer{answer}:
 		case <-ctx.Done():
 		}
 	}
 	return nil
 }
 
+// awaitTurn waits while the host is fed by another, and reports whether it did.
+func (r *storeReader) awaitTurn(ctx context.Context) bool {
+	r.follower.Learned(r.host.snapshot.Load().versions[r.follower.Source])
+	rest := time.Unix(0, r.host.fedUntil.Load()).Sub(r.host.network.Now())
+	if rest <= 0 {
+		return false
+	}
+	timer := time.NewTimer(rest)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return true
+}
+
 func (r *storeReader) ask(ctx context.Context, call catalogue.Call) (catalogue.Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, call.Timeout)
 	defer cancel()
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"net/netip"
 	"os"
 	"time"
@@ -20,6 +21,7 @@
 	Host       fleet.HostID       `toml:"host"`
 	DataCentre fleet.DataCentreID `toml:"data_centre"`
 	Listen     Listen             `toml:"listen"`
+	Peers      PeerSettings       `toml:"peers"`
 	Store      StoreSettings      `toml:"store"`
 	Bounds     Bounds             `toml:"bounds"`
 }
@@ -31,6 +33,14 @@
 	Packets netip.AddrPort `toml:"packets"`
 	// Readiness answers the health checks of the fabric.
 	Readiness netip.AddrPort `toml:"readiness"`
+	// Peers is where other entry hosts learn what this one knows.
+	Peers netip.AddrPort `toml:"peers"`
+}
+
+// PeerSettings tell how to find other entry hosts.
+type PeerSettings struct {
+	// Seeds are the addresses of some hosts, which may be down.
+	Seeds []netip.AddrPort `toml:"seeds"`
 }
 
 // StoreSettings tell where the platform's store is.
@@ -89,6 +99,10 @@
 	require("data_centre", declaration.NameFault(string(s.DataCentre)))
 	require("listen.packets", declaration.AddressFault(s.Listen.Packets))
 	require("listen.readiness", declaration.AddressFault(s.Listen.Readiness))
+	require("listen.peers", declaration.AddressFault(s.Listen.Peers))
+	for i, seed := range s.Peers.Seeds {
+		require(fmt.Sprintf("peers.seeds.%d", i), declaration.AddressFault(seed))
+	}
 	require("store.address", declaration.AddressFault(s.Store.Address))
 	require("bounds.configuration", declaration.RangeFault(s.Bounds.Configuration, minBound, maxBound))
 	require("bounds.drain", declaration.RangeFault(s.Bounds.Drain, minBound, maxBound))
--- a/platformstandin/host.go
+++ b/platformstandin/host.go
@@ -19,6 +19,8 @@
 type hostNode struct {
 	name string
 	zone string
+	// address is where the host accepts other hosts.
+	address netip.AddrPort
 
 	process *process
 	misses  int
@@ -57,6 +59,10 @@
 func (s *Site) settings(node *hostNode) entry.Settings {
 	var e entry.Settings
 	e.Host, e.DataCentre = fleet.HostID(node.name), fleet.DataCentreID(node.zone)
+	e.Listen.Peers = node.address
+	for _, other := range s.hosts[:min(3, len(s.hosts))] {
+		e.Peers.Seeds = append(e.Peers.Seeds, other.address)
+	}
 	e.Listen.Packets = netip.MustParseAddrPort("10.0.0.1:8172")
 	e.Store.Address = netip.MustParseAddrPort("10.200.0.1:8169")
 	e.Bounds = entry.Bounds{Configuration: s.bound, Drain: s.bound, Evacuation: 5 * time.Second, Stop: 6 * time.Second}
@@ -85,9 +91,14 @@
 			<-ctx.Done()
 			return nil
 		},
-		Store: storePath{p},
-		Now:   time.Now,
-		Close: p.kill,
+		ServeFeed: func(ctx context.Context, _ func(context.Context, *entry.Stream)) error {
+			<-ctx.Done()
+			return nil
+		},
+		DialFeed: p.dialFeed,
+		Store:    storePath{p},
+		Now:      time.Now,
+		Close:    p.kill,
 	}
 }
 
@@ -132,3 +143,61 @@
 	}
 	return s.Store.Transport(t.process.node.name).RoundTrip(r)
 }
+
+// dialFeed opens a stream to the process at an address.
+func (p *process) dialFeed(ctx context.Context, to netip.AddrPort) (*entry.Stream, error) {
+	peer := p.site.processAt(p.node.zone, to)
+	if peer == nil || p.dead() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	there, here := make(chan []byte, streamMessages), make(chan []byte, streamMessages)
+	closed := make(chan struct{})
+	var once sync.Once
+	end := func() { once.Do(func() { close(closed) }) }
+	p.site.processes.Go(func() {
+		peer.host.ServeFeed(context.Background(), p.stream(peer, here, there, closed, end))
+	})
+	return p.stream(peer, there, here, closed, end), nil
+}
+
+// streamMessages is how many messages a stream holds.
+const streamMessages = 16
+
+// stream is one end of a stream. Messages are lost while the zones are cut off.
+func (p *process) stream(peer *process, out chan<- []byte, in <-chan []byte, closed <-chan struct{}, end func()) *entry.Stream {
+	return &entry.Stream{
+		Send: func(ctx context.Context, message []byte) error {
+			if p.site.isCut(p.node.zone, peer.node.zone) {
+				return nil
+			}
+			select {
+			case out <- message:
+				return nil
+			case <-closed:
+				return net.ErrClosed
+			case <-p.killed:
+				return net.ErrClosed
+			case <-peer.killed:
+				return net.ErrClosed
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		},
+		Receive: func(ctx context.Context) ([]byte, error) {
+			select {
+			case message := <-in:
+				return message, nil
+			case <-closed:
+				return nil, net.ErrClosed
+			case <-p.killed:
+				return nil, net.ErrClosed
+			case <-peer.killed:
+				return nil, net.ErrClosed
+			case <-ctx.Done():
+				return nil, ctx.Err()
+			}
+		},
+		Close: end,
+	}
+}
--- a/platformstandin/site.go
+++ b/platformstandin/site.go
@@ -133,7 +133,11 @@
 	}
 	for _, zone := range s.Zones {
 		for range s.HostsPerZone {
-			s.hosts = append(s.hosts, &hostNode{name: fmt.Sprintf("host-%s-%d", zone, len(s.hosts)), zone: zone, in: true})
+			n := len(s.hosts)
+			s.hosts = append(s.hosts, &hostNode{
+				name: fmt.Sprintf("host-%s-%d", zone, n), zone: zone, in: true,
+				address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1, byte(n)}), 8166),
+			})
 		}
 		for range s.TargetsPerZone {
 			s.addTarget("bench", zone, 20*time.Millisecond)
@@ -408,6 +412,18 @@
 	return t.state
 }
 
+// processAt returns the process that accepts hosts at an address, or nil.
+func (s *Site) processAt(zone string, address netip.AddrPort) *process {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, node := range s.hosts {
+		if node.address == address && node.process != nil && !node.process.dead() && !s.cutLocked(zone, node.zone) {
+			return node.process
+		}
+	}
+	return nil
+}
+
 func (s *Site) listen(zone string, flow flowID, inbox chan answer) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/platformstandin/store.go
+++ b/platformstandin/store.go
@@ -226,10 +226,14 @@
 // ServeHTTP answers lists and watches.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	kind, ok := strings.CutPrefix(r.URL.Path, "/api/objects/")
-	if !ok || r.Method != http.MethodGet || strings.Contains(kind, "/") {
+	if !ok {
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
+	if r.Method != http.MethodGet {
+		s.write(w, r, kind)
+		return
+	}
 	query := r.URL.Query()
 	if !query.Has("watch") {
 		writeJSON(w, s.list(kind, query.Get("after")))
@@ -244,6 +248,26 @@
 	s.watch(w, r, kind, after, time.Duration(wait)*time.Millisecond)
 }
 
+// write creates an object, named in its body, or replaces one, named in the path.
+func (s *Store) write(w http.ResponseWriter, r *http.Request, path string) {
+	var object Object
+	if err := json.NewDecoder(r.Body).Decode(&object); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	kind, name, named := strings.Cut(path, "/")
+	if !named {
+		name = object.Meta.Name
+	}
+	exists := s.spec(kind, name) != nil
+	if exists != named {
+		w.WriteHeader(map[bool]int{true: http.StatusConflict, false: http.StatusNotFound}[exists])
+		return
+	}
+	s.Put(kind, name, object.Spec)
+	writeJSON(w, object)
+}
+
 // pageItems is how many objects a page of a list has at most.
 const pageItems = 500
 
--- /dev/null
+++ b/upstream/chooser_test.go
@@ -0,0 +1,105 @@
+package upstream_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/rattanthread/rattanthread/fleet"
+	"github.com/rattanthread/rattanthread/upstream"
+)
+
+var start = time.Unix(1000, 0)
+
+func peers(dataCentre fleet.DataCentreID, n int) []fleet.Host {
+	var all []fleet.Host
+	for i := range n {
+		all = append(all, fleet.Host{
+			ID:          fleet.HostID(fmt.Sprintf("%s-%d", dataCentre, i)),
+			DataCentre:  dataCentre,
+			PeerAddress: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(len(dataCentre)), byte(i)}), 8166),
+		})
+	}
+	return all
+}
+
+// TestOneReaderPerDataCentre lets each host of two data centres choose.
+func TestOneReaderPerDataCentre(t *testing.T) {
+	is := is.New(t)
+	all := append(peers("a", 16), peers("bb", 16)...)
+	readers := make(map[fleet.DataCentreID]int)
+	for _, self := range all {
+		c := upstream.Chooser{Self: self}
+		peer, ok := c.Choose(start, all)
+		if !ok {
+			readers[self.DataCentre]++
+			continue
+		}
+		is.Equal(peer.DataCentre, self.DataCentre)
+	}
+	is.Equal(readers, map[fleet.DataCentreID]int{"a": 1, "bb": 1})
+}
+
+func TestFailedPeerIsPassedOver(t *testing.T) {
+	is := is.New(t)
+	all := peers("a", 5)
+	var c upstream.Chooser
+	for _, self := range all { // the host that ranks last
+		c = upstream.Chooser{Self: self}
+		tried := 0
+		for {
+			peer, ok := c.Choose(start, all)
+			if !ok {
+				break
+			}
+			tried++
+			c.Failed(start, peer.PeerAddress)
+		}
+		if tried == 4 {
+			break
+		}
+	}
+	_, ok := c.Choose(start, all)
+	is.True(!ok) // reads the store when all that rank before it have failed
+	_, ok = c.Choose(start.Add(5*time.Second), all)
+	is.True(ok) // and tries them again later
+}
+
+func TestSeeds(t *testing.T) {
+	is := is.New(t)
+	self := fleet.Host{ID: "a-0", PeerAddress: netip.MustParseAddrPort("10.0.0.1:1")}
+	other := netip.MustParseAddrPort("10.0.0.2:1")
+	c := upstream.Chooser{Self: self}
+	seed, ok := c.Seed(start, []netip.AddrPort{self.PeerAddress, other})
+	is.True(ok)
+	is.Equal(seed, other)
+	c.Failed(start, other)
+	_, ok = c.Seed(start, []netip.AddrPort{self.PeerAddress, other})
+	is.True(!ok)
+}
+
+func TestFreshness(t *testing.T) {
+	tests := []struct {
+		name  string
+		age   time.Duration
+		since time.Duration
+		want  bool
+	}{
+		{"fresh", 500 * time.Millisecond, 200 * time.Millisecond, true},
+		{"silent", 0, 1100 * time.Millisecond, false},
+		{"late, as its own upstream is", 1600 * time.Millisecond, 0, false},
+		{"late with the time since", 1000 * time.Millisecond, 600 * time.Millisecond, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			f := upstream.Freshness{Limit: 1500 * time.Millisecond, Silence: time.Second}
+			is.True(!f.Fresh(start))
+			f.Heard(start, test.age)
+			is.Equal(f.Fresh(start.Add(test.since)), test.want)
+		})
+	}
+}
