Write a line for each decision, within a budget, and serve metrics

A line for each placement, refusal, reset with its reason, suspicion, probe, change of belief, lost and regained dependency, with what decided it and its age; at most 100 lines of a kind in a second, what is left out is counted; a reader of the log that stops delays nothing (tests). client_golang serves counters by reason and histograms of decisions, store calls and ages.

--- a/entry/command.go
+++ b/entry/command.go
@@ -11,6 +11,8 @@
 
 	"github.com/google/subcommands"
 	"github.com/hashicorp/go-hclog"
+
+	"github.com/rattanthread/rattanthread/decisionlog"
 )
 
 // Command runs one entry host on the users' platform.
@@ -61,8 +63,9 @@
 	}
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	logger := hclog.New(&hclog.LoggerOptions{JSONFormat: true, Output: os.Stdout})
-	h := &Host{Settings: s, Logger: logger}
+	lines := decisionlog.NewQueue(os.Stdout)
+	defer lines.Close()
+	h := &Host{Settings: s, Logger: hclog.New(&hclog.LoggerOptions{JSONFormat: true, Output: lines})}
 	if err := h.Run(ctx); err != nil {
 		_, _ = fmt.Fprintln(errs, "entry:", err)
 		return subcommands.ExitFailure
--- a/entry/control.go
+++ b/entry/control.go
@@ -89,20 +89,28 @@
 	before := h.snapshot.Swap(next).catalogue
 	if !before.Ready() && next.catalogue.Ready() {
 		close(h.ready)
-		h.Logger.Info("ready", "catalogue", next.catalogue.Number, "servers", next.catalogue.Servers())
+		h.log.Line("ready", "catalogue", next.catalogue.Number, "servers", next.catalogue.Servers())
 	}
 	if !changed {
 		return
 	}
-	c.logChanges()
+	c.logChanges(before.Ready())
 	h.endFlows(before, next.catalogue)
 }
 
-// logChanges writes a line for each change of what the host believes.
-func (c *control) logChanges() {
+// logChanges writes a line for each change of what the host believes. Servers
+// that were there at the start are counted only, to be ready sooner.
+func (c *control) logChanges(started bool) {
 	current := c.tracker.Current()
+	c.host.metrics.servers.Set(float64(current.Servers()))
 	for _, change := range c.tracker.Changes() {
-		c.host.Logger.Info(change.Kind.String(), "name", change.Name, "cookie", change.Cookie, "version", change.Version,
+		if change.Kind == catalogue.ConfigurationInForce {
+			c.host.metrics.config.Set(float64(change.Number))
+		}
+		if change.Kind == catalogue.ServerAdded && !started {
+			continue
+		}
+		c.host.log.Line(change.Kind.String(), "name", change.Name, "cookie", change.Cookie, "version", change.Version,
 			"configuration", change.Number, "catalogue", current.Number, "servers", current.Servers())
 	}
 }
--- a/entry/feed.go
+++ b/entry/feed.go
@@ -76,7 +76,7 @@
 	}
 	var asked hello
 	if err := cbor.Unmarshal(message, &asked); err != nil {
-		h.Logger.Warn("feed refused", "error", err)
+		h.log.Line("feed_refused", "error", err)
 		return
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -85,9 +85,9 @@
 	if !h.join(ctx, s) {
 		return
 	}
-	h.Logger.Info("feed opened", "peer", asked.Host)
+	h.log.Line("feed_opened", "peer", asked.Host)
 	err = h.sendUpdates(ctx, stream, s)
-	h.Logger.Info("feed closed", "peer", asked.Host, "error", err)
+	h.log.Line("feed_closed", "peer", asked.Host, "error", err)
 	h.join(context.WithoutCancel(ctx), &subscriber{left: true})
 }
 
@@ -177,7 +177,8 @@
 				return nil
 			}
 			f.chooser.Failed(h.network.Now(), to)
-			h.Logger.Info("upstream lost", "peer", to, "error", err)
+			h.log.Line("upstream_lost", "peer", to, "error", err)
+			h.metrics.upstreams.WithLabelValues("lost").Inc()
 		}
 		pause.Reset(feedPause)
 	}
@@ -216,6 +217,8 @@
 	if err := stream.Send(dialing, message); err != nil {
 		return errors.Wrap(err, "send hello")
 	}
+	h.log.Line("upstream_chosen", "peer", to)
+	h.metrics.upstreams.WithLabelValues("chosen").Inc()
 	fresh := upstream.Freshness{Limit: h.Settings.Bounds.Configuration / 2, Silence: feedSilence}
 	blind := !h.snapshot.Load().catalogue.Ready()
 	for {
--- a/entry/host.go
+++ b/entry/host.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/rattanthread/rattanthread/catalogue"
+	"github.com/rattanthread/rattanthread/decisionlog"
 	"github.com/rattanthread/rattanthread/forwarding"
 	"github.com/rattanthread/rattanthread/platform"
 )
@@ -28,6 +29,10 @@
 
 	snapshot atomic.Pointer[snapshot]
 	network  Network
+	log      decisionlog.Log
+	metrics  *metrics
+	// packets counts the packets that were decided on.
+	packets uint64
 	// mu guards forwarder, which the packet, control and probe goroutines use.
 	mu        sync.Mutex
 	forwarder forwarding.Forwarder
@@ -53,10 +58,12 @@
 // Run serves until ctx ends, then stops without cutting a flow: it leaves the
 // rotation first and forwards until the fabric has moved on.
 func (h *Host) Run(ctx context.Context) error {
-	h.Logger.Info("start", "host", h.Settings.Host, "data_centre", h.Settings.DataCentre)
 	if err := h.open(); err != nil {
 		return err
 	}
+	h.log = decisionlog.Log{Logger: h.Logger, Now: h.network.Now}
+	h.metrics = newMetrics()
+	h.log.Line("start", "host", h.Settings.Host, "data_centre", h.Settings.DataCentre)
 	h.forwarder.Chooser.DataCentre = h.Settings.DataCentre
 	h.probes = make(chan *catalogue.Server, maxProbes)
 	h.ready = make(chan struct{})
@@ -74,6 +81,7 @@
 	}
 	group.Go(func() error { return (&control{host: h}).run(work) })
 	group.Go(func() error { return (&feedClient{host: h}).run(work) })
+	group.Go(func() error { return h.serveMetrics(work) })
 	group.Go(func() error { return h.register(work, &store) })
 	group.Go(func() error { return h.network.ServeFeed(work, h.ServeFeed) })
 	group.Go(func() error { return h.forward(work) })
@@ -119,7 +127,7 @@
 		return
 	}
 	h.stopping.Store(true)
-	h.Logger.Info("stopping", "host", h.Settings.Host)
+	h.log.Line("stopping", "host", h.Settings.Host)
 	timer := time.NewTimer(lingerTime)
 	defer timer.Stop()
 	select {
--- /dev/null
+++ b/entry/metrics.go
@@ -0,0 +1,104 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/rattanthread/rattanthread/catalogue"
+	"github.com/rattanthread/rattanthread/forwarding"
+)
+
+// sampleEvery is of how many packets one is timed.
+const sampleEvery = 64
+
+// metrics counts what a host decides. docs/OPERATIONS.md describes each.
+type metrics struct {
+	registry  *prometheus.Registry
+	decisions [forwarding.ReasonCount]prometheus.Counter
+	malformed prometheus.Counter
+	reset     *prometheus.CounterVec
+	suspected *prometheus.CounterVec
+	probes    *prometheus.CounterVec
+	calls     *prometheus.CounterVec
+	upstreams *prometheus.CounterVec
+	decision  prometheus.Histogram
+	age       prometheus.Histogram
+	call      prometheus.Histogram
+	servers   prometheus.Gauge
+	config    prometheus.Gauge
+}
+
+func newMetrics() *metrics {
+	m := &metrics{registry: prometheus.NewRegistry()}
+	vec := func(name, help string, labels ...string) *prometheus.CounterVec {
+		c := prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "rattanthread", Name: name, Help: help}, labels)
+		m.registry.MustRegister(c)
+		return c
+	}
+	histogram := func(name, help string, first float64) prometheus.Histogram {
+		h := prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: "rattanthread", Name: name, Help: help, Buckets: prometheus.ExponentialBuckets(first, 2, 14),
+		})
+		m.registry.MustRegister(h)
+		return h
+	}
+	gauge := func(name, help string) prometheus.Gauge {
+		g := prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "rattanthread", Name: name, Help: help})
+		m.registry.MustRegister(g)
+		return g
+	}
+	decisions := vec("packets_total", "Packets of callers, by what was decided and why.", "reason")
+	for reason := range forwarding.ReasonCount {
+		m.decisions[reason] = decisions.WithLabelValues(reason.String())
+	}
+	m.malformed = vec("malformed_packets_total", "Packets that could not be read.").WithLabelValues()
+	m.reset = vec("flows_reset_total", "Flows that were reset before their caller sent on them, by reason.", "reason")
+	m.suspected = vec("suspicions_total", "Suspicions of servers that were raised or cleared.", "change")
+	m.probes = vec("probes_total", "Probes of servers, by result.", "result")
+	m.calls = vec("store_calls_total", "Calls on the platform's store, by source and result.", "source", "result")
+	m.upstreams = vec("upstream_total", "Changes of the host that this one learns from.", "change")
+	m.decision = histogram("decision_seconds", "Time to decide on a packet; a sample.", 250e-9)
+	m.age = histogram("configuration_age_seconds", "Age of the configuration when a packet was decided on; a sample.", 0.01)
+	m.call = histogram("store_call_seconds", "Time of a call on the store beyond the time it was told to wait.", 0.001)
+	m.servers = gauge("servers", "Backend servers that are known.")
+	m.config = gauge("configuration_number", "Number of the configuration in force.")
+	return m
+}
+
+// countDecision counts a decision.
+func (m *metrics) countDecision(d forwarding.Decision) {
+	m.decisions[d.Reason].Inc()
+	if d.Raised != 0 {
+		m.suspected.WithLabelValues("raised").Inc()
+	}
+	if d.Cleared != 0 {
+		m.suspected.WithLabelValues("cleared").Inc()
+	}
+}
+
+// sample times a decision that began at start, with a configuration confirmed then.
+func (m *metrics) sample(start, end, confirmed time.Time) {
+	m.decision.Observe(end.Sub(start).Seconds())
+	if !confirmed.IsZero() {
+		m.age.Observe(start.Sub(confirmed).Seconds())
+	}
+}
+
+// countCall counts a call on the store that took a time beyond its wait.
+func (m *metrics) countCall(source catalogue.Source, result string, took time.Duration) {
+	m.calls.WithLabelValues(source.String(), result).Inc()
+	m.call.Observe(max(0, took).Seconds())
+}
+
+// metricsPath is where the metrics are served.
+const metricsPath = "/metrics"
+
+func (h *Host) serveMetrics(ctx context.Context) error {
+	mux := http.NewServeMux()
+	mux.Handle(metricsPath, promhttp.HandlerFor(h.metrics.registry, promhttp.HandlerOpts{}))
+	return h.network.ServeMetrics(ctx, mux)
+}
--- a/entry/network.go
+++ b/entry/network.go
@@ -32,6 +32,8 @@
 	Connect func(ctx context.Context, to netip.AddrPort) error
 	// Serve answers health checks until ctx ends.
 	Serve func(ctx context.Context, checks http.Handler) error
+	// ServeMetrics answers who asks for metrics until ctx ends.
+	ServeMetrics func(ctx context.Context, metrics http.Handler) error
 	// ServeFeed accepts the streams of other hosts until ctx ends.
 	ServeFeed func(ctx context.Context, accept func(context.Context, *Stream)) error
 	// DialFeed opens a stream to another host.
@@ -44,24 +46,21 @@
 	Close func()
 }
 
-// listen opens the sockets of a host.
+// listen opens the sockets of a host, all or none.
 func listen(s Settings) (Network, error) {
 	packets, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(s.Listen.Packets))
 	if err != nil {
 		return Network{}, errors.Wrap(err, "listen.packets")
 	}
 	_ = packets.SetReadBuffer(receiveBuffer)
-	readiness, err := net.Listen("tcp4", s.Listen.Readiness.String())
+	listeners, err := listenAll([]named{
+		{"listen.readiness", s.Listen.Readiness}, {"listen.peers", s.Listen.Peers}, {"listen.metrics", s.Listen.Metrics},
+	})
 	if err != nil {
 		_ = packets.Close()
-		return Network{}, errors.Wrap(err, "listen.readiness")
-	}
-	peers, err := net.Listen("tcp4", s.Listen.Peers.String())
-	if err != nil {
-		_ = packets.Close()
-		_ = readiness.Close()
-		return Network{}, errors.Wrap(err, "listen.peers")
+		return Network{}, err
 	}
+	readiness, peers, metrics := listeners[0], listeners[1], listeners[2]
 	return Network{
 		Receive: func(buffer []byte) (int, error) {
 			n, _, err := packets.ReadFromUDPAddrPort(buffer)
@@ -71,8 +70,9 @@
 			_, err := packets.WriteToUDPAddrPort(datagram, to)
 			return err
 		},
-		Connect: connect,
-		Serve:   func(ctx context.Context, checks http.Handler) error { return serve(ctx, readiness, checks) },
+		Connect:      connect,
+		Serve:        func(ctx context.Context, checks http.Handler) error { return serve(ctx, readiness, checks) },
+		ServeMetrics: func(ctx context.Context, handler http.Handler) error { return serve(ctx, metrics, handler) },
 		ServeFeed: func(ctx context.Context, accept func(context.Context, *Stream)) error {
 			return serve(ctx, peers, acceptFeed(accept))
 		},
@@ -87,6 +87,28 @@
 	}, nil
 }
 
+// named is an address with its key in the settings.
+type named struct {
+	key     string
+	address netip.AddrPort
+}
+
+// listenAll opens TCP sockets, all or none.
+func listenAll(addresses []named) ([]net.Listener, error) {
+	var listeners []net.Listener
+	for _, a := range addresses {
+		listener, err := net.Listen("tcp4", a.address.String())
+		if err != nil {
+			for _, open := range listeners {
+				_ = open.Close()
+			}
+			return nil, errors.Wrap(err, a.key)
+		}
+		listeners = append(listeners, listener)
+	}
+	return listeners, nil
+}
+
 func connect(ctx context.Context, to netip.AddrPort) error {
 	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp4", to.String())
 	if err != nil {
--- a/entry/packets.go
+++ b/entry/packets.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/rattanthread/rattanthread/catalogue"
+	"github.com/rattanthread/rattanthread/fleet"
 	"github.com/rattanthread/rattanthread/forwarding"
 	"github.com/rattanthread/rattanthread/platform"
 )
@@ -30,6 +31,7 @@
 		}
 		packet, err := platform.ParsePacket(datagram[platform.TagBytes : platform.TagBytes+n])
 		if err != nil {
+			h.metrics.malformed.Inc()
 			continue
 		}
 		h.act(packet, h.decide(packet), datagram[:platform.TagBytes+n])
@@ -47,12 +49,41 @@
 }
 
 func (h *Host) decide(p forwarding.Packet) forwarding.Decision {
-	known := h.snapshot.Load()
+	known, now := h.snapshot.Load(), h.network.Now()
+	confirmed := known.confirmed[catalogue.Configurations]
 	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.forwarder.Decide(h.network.Now(), known.catalogue, known.confirmed[catalogue.Configurations], p)
+	d := h.forwarder.Decide(now, known.catalogue, confirmed, p)
+	h.mu.Unlock()
+	h.metrics.countDecision(d)
+	h.packets++
+	if h.packets%sampleEvery == 0 {
+		h.metrics.sample(now, h.network.Now(), confirmed)
+	}
+	if d.Reason != forwarding.ByCookie {
+		h.logDecision(p, d, known, now)
+	}
+	return d
 }
 
+// logDecision writes a line for a decision that is not about an open flow.
+func (h *Host) logDecision(p forwarding.Packet, d forwarding.Decision, known *snapshot, now time.Time) {
+	server := fleet.ServerID("")
+	if d.Server != nil {
+		server = d.Server.ID
+	}
+	number := uint64(0)
+	if known.catalogue != nil {
+		number = known.catalogue.Number
+	}
+	h.log.Line(d.Reason.String(), "flow", flowName(p), "action", d.Action.String(), "server", server, "tries", d.Tries,
+		"kind", p.Kind.String(), "catalogue", number, "version", known.versions[catalogue.Servers],
+		"age_ms", now.Sub(known.confirmed[catalogue.Servers]).Milliseconds(),
+		"configuration_age_ms", now.Sub(known.confirmed[catalogue.Configurations]).Milliseconds())
+}
+
+// flowName names a flow in logs, by its caller and its route.
+func flowName(p forwarding.Packet) string { return p.Source.String() + "-" + p.Destination.String() }
+
 // act carries out a decision. The datagram has room for a tag before the packet.
 func (h *Host) act(p forwarding.Packet, d forwarding.Decision, datagram []byte) {
 	switch d.Action {
@@ -60,12 +91,14 @@
 		platform.Address(datagram, d.Server.Tag, d.Cookie)
 		_ = h.network.Send(datagram, d.Server.Address)
 	case forwarding.Refuse:
-		h.Logger.Info("reset", "flow", p.Source, "route", p.Destination, "reason", d.Reason.String())
 		h.reset(p)
 	case forwarding.Drop:
 	}
 	if d.Raised != 0 {
-		h.Logger.Info("server suspected", "cookie", d.Raised)
+		h.log.Line("suspicion_raised", "server", d.Doubted, "flow", flowName(p))
+	}
+	if d.Cleared != 0 {
+		h.log.Line("suspicion_cleared", "server", d.Server.ID, "flow", flowName(p))
 	}
 	if d.Probe != nil {
 		select {
@@ -86,8 +119,7 @@
 func (h *Host) resetFlows(flows []forwarding.Packet, server catalogue.Cookie, reason forwarding.Reason) {
 	for _, p := range flows {
 		h.reset(p)
+		h.log.Line("flow_reset", "flow", flowName(p), "cookie", server, "reason", reason.String())
 	}
-	if len(flows) > 0 {
-		h.Logger.Info("flows reset", "server", server, "flows", len(flows), "reason", reason.String())
-	}
+	h.metrics.reset.WithLabelValues(reason.String()).Add(float64(len(flows)))
 }
--- a/entry/probe.go
+++ b/entry/probe.go
@@ -46,6 +46,7 @@
 		h.mu.Lock()
 		flows := h.forwarder.Probed(server.Cookie, reachable)
 		h.mu.Unlock()
+		h.countProbe(server, reachable, len(flows))
 		h.resetFlows(flows, server.Cookie, forwarding.ServerUnreachable)
 		if reachable {
 			return
@@ -64,6 +65,15 @@
 	}
 }
 
+func (h *Host) countProbe(server *catalogue.Server, reachable bool, flows int) {
+	result := "accepted"
+	if !reachable {
+		result = "unreachable"
+	}
+	h.metrics.probes.WithLabelValues(result).Inc()
+	h.log.Line("server_probed", "server", server.ID, "result", result, "flows", flows)
+}
+
 // accepts reports whether a server accepts a connection. Several are tried, as
 // one packet may be lost; a host that refuses two has no server.
 func (h *Host) accepts(ctx context.Context, server *catalogue.Server) bool {
--- a/entry/reader.go
+++ b/entry/reader.go
@@ -31,7 +31,7 @@
 			continue
 		}
 		if r.follower.Answered(answer.Version) {
-			r.host.Logger.Info("store regained", "source", answer.Source.String(), "version", answer.Version)
+			r.host.log.Line("store_regained", "source", answer.Source.String(), "version", answer.Version)
 		}
 		select {
 		case r.host.answers <- []catalogue.Answer{answer}:
@@ -60,27 +60,41 @@
 func (r *storeReader) ask(ctx context.Context, call catalogue.Call) (catalogue.Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, call.Timeout)
 	defer cancel()
+	asked := r.host.network.Now()
+	answer, err := r.call(ctx, call)
+	answered := r.host.network.Now()
+	result, waited := "ok", call.Wait
+	if err != nil {
+		result = "failed"
+	}
+	if len(answer.Records) > 0 {
+		waited = 0
+	}
+	r.host.metrics.countCall(call.Source, result, answered.Sub(asked)-waited)
+	answer.Asked = answered
 	if call.Whole {
-		asked := r.host.network.Now()
-		answer, err := r.store.List(ctx, call.Source)
 		answer.Asked = asked
-		return answer, err
 	}
-	answer, err := r.store.Watch(ctx, call.Source, call.After, call.Wait)
-	answer.Asked = r.host.network.Now()
 	return answer, err
 }
 
+func (r *storeReader) call(ctx context.Context, call catalogue.Call) (catalogue.Answer, error) {
+	if call.Whole {
+		return r.store.List(ctx, call.Source)
+	}
+	return r.store.Watch(ctx, call.Source, call.After, call.Wait)
+}
+
 func (r *storeReader) failed(ctx context.Context, err error) {
 	source := r.follower.Source.String()
 	if errors.Is(err, platform.ErrHistoryGone) {
-		r.host.Logger.Info("history gone", "source", source)
+		r.host.log.Line("history_gone", "source", source)
 		r.follower.Forgotten()
 		return
 	}
 	pause, lost := r.follower.Failed()
 	if lost {
-		r.host.Logger.Warn("store lost", "source", source, "error", err)
+		r.host.log.Line("store_lost", "source", source, "error", err)
 	}
 	timer := time.NewTimer(pause)
 	defer timer.Stop()
--- a/entry/registrar.go
+++ b/entry/registrar.go
@@ -33,7 +33,7 @@
 		calling, cancel := context.WithTimeout(ctx, registerTimeout)
 		err := store.Register(calling, h.self())
 		cancel()
-		h.Logger.Info("registered", "error", err)
+		h.log.Line("registered", "error", err)
 	}
 }
 
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -35,6 +35,8 @@
 	Readiness netip.AddrPort `toml:"readiness"`
 	// Peers is where other entry hosts learn what this one knows.
 	Peers netip.AddrPort `toml:"peers"`
+	// Metrics serves /metrics.
+	Metrics netip.AddrPort `toml:"metrics"`
 }
 
 // PeerSettings tell how to find other entry hosts.
@@ -100,6 +102,7 @@
 	require("listen.packets", declaration.AddressFault(s.Listen.Packets))
 	require("listen.readiness", declaration.AddressFault(s.Listen.Readiness))
 	require("listen.peers", declaration.AddressFault(s.Listen.Peers))
+	require("listen.metrics", declaration.AddressFault(s.Listen.Metrics))
 	for i, seed := range s.Peers.Seeds {
 		require(fmt.Sprintf("peers.seeds.%d", i), declaration.AddressFault(seed))
 	}
--- a/forwarding/forwarder.go
+++ b/forwarding/forwarder.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rattanthread/rattanthread/catalogue"
+	"github.com/rattanthread/rattanthread/fleet"
 	"github.com/rattanthread/rattanthread/placement"
 )
 
@@ -25,6 +26,11 @@
 	Foreign
 )
 
+var kindNames = [...]string{"segment", "opening", "closing", "reset", "foreign"}
+
+// String returns the name of the kind.
+func (k Kind) String() string { return kindNames[k] }
+
 // Packet is what is decided on.
 type Packet struct {
 	Source, Destination netip.AddrPort
@@ -87,6 +93,10 @@
 	Server *catalogue.Server
 	// Cookie is what the forwarded packet carries.
 	Cookie catalogue.Cookie
+	// Tries is how many tries of a new flow have failed before.
+	Tries int
+	// Doubted is the server that a repeated packet was sent to before.
+	Doubted fleet.ServerID
 	// Probe is a server that may have ended, which should be probed now.
 	Probe *catalogue.Server
 	// Raised and Cleared name the server whose suspicion the packet raised or
@@ -153,7 +163,7 @@
 	d := Decision{Action: Forward, Reason: Placed, Server: server, Cookie: server.Cookie.On(p.Destination)}
 	f.flows.Opened(now, &p, server.Cookie, failed)
 	if failed.Count() > 0 {
-		d.Reason = PlacedAgain
+		d.Reason, d.Tries = PlacedAgain, failed.Count()
 		f.repeated(now, c, failed.Last(), &d)
 	}
 	return d
@@ -204,6 +214,7 @@
 	if server == nil {
 		return
 	}
+	d.Doubted = server.ID
 	if f.Chooser.Suspects.Repeated(now, cookie) {
 		d.Raised = cookie
 	}
--- a/platformstandin/host.go
+++ b/platformstandin/host.go
@@ -95,6 +95,10 @@
 			<-ctx.Done()
 			return nil
 		},
+		ServeMetrics: func(ctx context.Context, _ http.Handler) error {
+			<-ctx.Done()
+			return nil
+		},
 		DialFeed: p.dialFeed,
 		Store:    storePath{p},
 		Now:      time.Now,
