Take in changed settings, with or without SIGHUP

The store, the seeds and the bounds change while the host runs; a file with a fault is reported and not used.

--- /dev/null
+++ b/entry/export_test.go
@@ -0,0 +1,21 @@
+package entry
+
+import (
+	"context"
+
+	"github.com/hashicorp/go-hclog"
+)
+
+// Watcher looks at a settings file when a test says so.
+type Watcher struct{ w settingsWatcher }
+
+// NewWatcher returns a Watcher that has read the file once.
+func NewWatcher(path string, last []byte, logger hclog.Logger) *Watcher {
+	return &Watcher{settingsWatcher{path: path, last: last, logger: logger, changed: make(chan Settings, 1)}}
+}
+
+// Look reads the file again.
+func (w *Watcher) Look(ctx context.Context) { w.w.look(ctx) }
+
+// Changed returns the settings that were passed on.
+func (w *Watcher) Changed() <-chan Settings { return w.w.changed }
--- a/entry/feed.go
+++ b/entry/feed.go
@@ -197,7 +197,7 @@
 	if now.Sub(started) < blindTime {
 		return netip.AddrPort{}, false
 	}
-	return f.chooser.Seed(now, h.Settings.Peers.Seeds)
+	return f.chooser.Seed(now, h.current.Load().Peers.Seeds)
 }
 
 // follow learns from a host until it falls silent or late.
@@ -219,7 +219,7 @@
 	}
 	h.log.Line("upstream_chosen", "peer", to)
 	h.metrics.upstreams.WithLabelValues("chosen").Inc()
-	fresh := upstream.Freshness{Limit: h.Settings.Bounds.Configuration / 2, Silence: feedSilence}
+	fresh := upstream.Freshness{Limit: h.bound(catalogue.Configurations) / 2, Silence: feedSilence}
 	blind := !h.snapshot.Load().catalogue.Ready()
 	for {
 		if err := f.receive(ctx, stream, &fresh); err != nil {
--- a/entry/host.go
+++ b/entry/host.go
@@ -24,9 +24,14 @@
 type Host struct {
 	Settings Settings
 	Logger   hclog.Logger
+	// Reload sends settings that have changed; nil means that none do. What can't
+	// change while the host runs is left as it is.
+	Reload <-chan Settings
 	// Network replaces sockets and clock; nil means the machine's own.
 	Network *Network
 
+	// current holds the settings in force.
+	current  atomic.Pointer[Settings]
 	snapshot atomic.Pointer[snapshot]
 	network  Network
 	log      decisionlog.Log
@@ -61,6 +66,7 @@
 	if err := h.open(); err != nil {
 		return err
 	}
+	h.current.Store(&h.Settings)
 	h.log = decisionlog.Log{Logger: h.Logger, Now: h.network.Now}
 	h.metrics = newMetrics()
 	h.log.Line("start", "host", h.Settings.Host, "data_centre", h.Settings.DataCentre)
@@ -74,14 +80,18 @@
 	defer stopWork()
 	group, work := errgroup.WithContext(work)
 	h.done = work.Done()
-	store := platform.Store{Address: h.Settings.Store.Address.String(), HTTP: &http.Client{Transport: h.network.Store}}
+	store := platform.Store{
+		Address: func() string { return h.current.Load().Store.Address.String() },
+		HTTP:    &http.Client{Transport: h.network.Store},
+	}
 	for source := range catalogue.Source(catalogue.SourceCount) {
-		reader := storeReader{host: h, store: &store, follower: catalogue.Follower{Source: source, Bound: h.bound(source)}}
+		reader := storeReader{host: h, store: &store, follower: catalogue.Follower{Source: source}}
 		group.Go(func() error { return reader.run(work) })
 	}
 	group.Go(func() error { return (&control{host: h}).run(work) })
 	group.Go(func() error { return (&feedClient{host: h}).run(work) })
 	group.Go(func() error { return h.serveMetrics(work) })
+	group.Go(func() error { return h.reload(work) })
 	group.Go(func() error { return h.register(work, &store) })
 	group.Go(func() error { return h.network.ServeFeed(work, h.ServeFeed) })
 	group.Go(func() error { return h.forward(work) })
@@ -98,14 +108,15 @@
 
 // bound returns the time within which a change of a source must be in force.
 func (h *Host) bound(source catalogue.Source) time.Duration {
+	bounds := h.current.Load().Bounds
 	switch source {
 	case catalogue.Servers:
-		return h.Settings.Bounds.Drain
+		return bounds.Drain
 	case catalogue.Evacuations:
-		return h.Settings.Bounds.Evacuation
+		return bounds.Evacuation
 	case catalogue.Configurations, catalogue.Hosts:
 	}
-	return h.Settings.Bounds.Configuration
+	return bounds.Configuration
 }
 
 // open opens the host's sockets, all or none.
@@ -135,3 +146,19 @@
 	case <-work.Done():
 	}
 }
+
+// reload takes in changed settings: the store, the seeds and the bounds.
+func (h *Host) reload(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case changed := <-h.Reload:
+			next := *h.current.Load()
+			next.Store, next.Peers, next.Bounds = changed.Store, changed.Peers, changed.Bounds
+			h.current.Store(&next)
+			restart := next.Listen != changed.Listen || next.Host != changed.Host || next.DataCentre != changed.DataCentre
+			h.log.Line("reloaded", "store", next.Store.Address, "needs_restart", restart)
+		}
+	}
+}
--- a/entry/reader.go
+++ b/entry/reader.go
@@ -22,6 +22,7 @@
 		if r.awaitTurn(ctx) {
 			continue
 		}
+		r.follower.Bound = r.host.bound(r.follower.Source)
 		answer, err := r.ask(ctx, r.follower.Next())
 		if ctx.Err() != nil {
 			return nil
--- /dev/null
+++ b/entry/settings_test.go
@@ -0,0 +1,55 @@
+package entry_test
+
+import (
+	"net/netip"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/rattanthread/rattanthread/entry"
+)
+
+const goodFile = "testdata/good.toml"
+
+func TestLoadSettings(t *testing.T) {
+	is := is.New(t)
+	s, err := entry.LoadSettings(goodFile)
+	is.NoErr(err)
+	is.Equal(string(s.Host), "front-a-1")
+	is.Equal(s.Listen.Packets, netip.MustParseAddrPort("127.0.0.1:8172"))
+	is.Equal(len(s.Peers.Seeds), 2)
+	is.Equal(s.Bounds.Configuration, 3*time.Second)
+}
+
+func TestBadSettings(t *testing.T) {
+	good, err := os.ReadFile(goodFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	tests := []struct {
+		name, old, replacement string
+		want                   []string
+	}{
+		{"unknown key", "[store]", "[store]\nport = 5", []string{"store", "port", "unknown key"}},
+		{"wrong type", `drain = "3000ms"`, "drain = true", []string{"bounds.drain"}},
+		{"out of range", `drain = "3000ms"`, `drain = "1ms"`, []string{"bounds.drain"}},
+		{"bad address", `"127.0.0.1:8172"`, `"nowhere"`, []string{"listen.packets"}},
+		{"missing", `host = "front-a-1"`, "", []string{"host"}},
+		{"no TOML", "[store]", "[store", []string{"bad.toml"}},
+		{"two faults at once", "8169\"", "x\"\n\n[more]", []string{"store.address", "more"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			bad := strings.Replace(string(good), test.old, test.replacement, 1)
+			_, err := entry.ParseSettings("bad.toml", []byte(bad))
+			is.True(err != nil)
+			for _, part := range test.want {
+				is.True(strings.Contains(err.Error(), part)) // part of the message
+			}
+		})
+	}
+}
