--- a/entry/packets.go
+++ b/entry/packets.go
@@ -100,6 +100,9 @@
 	if d.Cleared != 0 {
 		h.log.Line("suspicion_cleared", "server", d.Server.ID, "flow", flowName(p))
 	}
+	if d.LoadChanged {
+		h.log.Line("load_changed", "server", d.Server.ID, "busy", d.Busy)
+	}
 	if d.Probe != nil {
 		select {
 		case h.probes <- d.Probe:
--- a/forwarding/flows.go
+++ b/forwarding/flows.go
@@ -96,6 +96,8 @@
 	seq, ack uint32
 	length   int
 	sent     time.Time
+	// asked is when the request that waits for its answer was first sent; zero for none.
+	asked time.Time
 }
 
 // Failed returns the servers on which a caller's openings have failed in a row
@@ -120,18 +122,23 @@
 	f.attempts[key.caller()] = attempt{flow: key, at: now, tried: failed}
 }
 
-// Seen notes a packet of an open flow and returns what it shows.
-func (f *Flows) Seen(now time.Time, p *Packet, server catalogue.Cookie) Sign {
+// Seen notes a packet of an open flow and returns what it shows. With the answer
+// to a request comes the time that it took.
+func (f *Flows) Seen(now time.Time, p *Packet, server catalogue.Cookie) (Sign, time.Duration) {
 	key := keyOf(p)
 	before := f.take(key)
-	next := flowState{server: server, seq: p.Seq, ack: p.Ack, length: p.Length, sent: now}
-	sign := NoSign
+	next := flowState{server: server, seq: p.Seq, ack: p.Ack, length: p.Length, sent: now, asked: before.asked}
+	sign, took := NoSign, time.Duration(0)
 	switch {
 	case before.opening || before.server != server:
 		sign = Answer
 		f.completed(key)
 	case int32(p.Ack-before.ack) > 0:
 		sign = Answer
+		if !before.asked.IsZero() {
+			took = now.Sub(before.asked)
+			next.asked = time.Time{}
+		}
 	case p.Length > 0 && before.length > 0 && p.Seq == before.seq:
 		if now.Sub(before.sent) >= repetitionGap {
 			sign = Repetition
@@ -139,8 +146,11 @@
 	case int32(p.Seq-before.seq) < 0:
 		next = before
 	}
+	if p.Length > 0 && next.asked.IsZero() {
+		next.asked = now
+	}
 	f.put(now, key, next)
-	return sign
+	return sign, took
 }
 
 // completed notes that a flow is open.
--- a/forwarding/flows_test.go
+++ b/forwarding/flows_test.go
@@ -58,8 +58,28 @@
 			for _, s := range test.segments {
 				now = now.Add(s.after)
 				p.Seq, p.Ack, p.Length = s.seq, s.ack, s.length
-				is.Equal(f.Seen(now, &p, 3), s.want)
+				sign, _ := f.Seen(now, &p, 3)
+				is.Equal(sign, s.want)
 			}
 		})
 	}
 }
+
+func TestTimeOfAnAnswer(t *testing.T) {
+	is := is.New(t)
+	var f forwarding.Flows
+	now := start
+	p := opening()
+	f.Opened(now, &p, 3, placement.Failed{})
+	f.Seen(now, &p, 3)
+	p.Seq, p.Ack, p.Length = 100, 50, 200
+	f.Seen(now, &p, 3)                           // the request
+	f.Seen(now.Add(200*time.Millisecond), &p, 3) // is sent again
+	p.Seq, p.Ack, p.Length = 300, 90, 0          // and answered
+	sign, took := f.Seen(now.Add(250*time.Millisecond), &p, 3)
+	is.Equal(sign, forwarding.Answer)
+	is.Equal(took, 250*time.Millisecond)
+	p.Ack = 120 // more of the same answer
+	_, took = f.Seen(now.Add(260*time.Millisecond), &p, 3)
+	is.Equal(took, time.Duration(0))
+}
--- a/forwarding/forwarder.go
+++ b/forwarding/forwarder.go
@@ -99,6 +99,8 @@
 	Doubted fleet.ServerID
 	// Probe is a server that may have ended, which should be probed now.
 	Probe *catalogue.Server
+	// LoadChanged says that the server has become busy or stopped being so.
+	LoadChanged, Busy bool
 	// Raised and Cleared name the server whose suspicion the packet raised or
 	// cleared; zero for none.
 	Raised, Cleared catalogue.Cookie
@@ -196,7 +198,12 @@
 		f.flows.Closed(&p)
 		return d
 	}
-	switch f.flows.Seen(now, &p, cookie) {
+	sign, took := f.flows.Seen(now, &p, cookie)
+	if took > 0 && f.Chooser.Loads.Answered(now, server, took) {
+		d.LoadChanged = true
+		d.Busy = f.Chooser.Loads.Busy(now, cookie)
+	}
+	switch sign {
 	case Repetition:
 		f.repeated(now, c, cookie, &d)
 	case Answer:
@@ -236,6 +243,7 @@
 // reset.
 func (f *Forwarder) Ended(server catalogue.Cookie) []Packet {
 	f.Chooser.Reach.Forget(server)
+	f.Chooser.Loads.Forget(server)
 	return f.flows.Ended(server)
 }
 
--- a/placement/chooser.go
+++ b/placement/chooser.go
@@ -53,11 +53,14 @@
 	Suspects Suspects
 	// Reach holds the servers that accept no connection.
 	Reach Reach
+	// Loads holds how busy servers are.
+	Loads Loads
 }
 
 // Reasons to pass over a server, the gravest highest.
 const (
 	remote = 1 << iota // or local, after failed tries there
+	busy
 	cold
 	suspected
 	failed
@@ -87,6 +90,9 @@
 	if local != (tried.Count() < localTries) {
 		reasons |= remote
 	}
+	if c.Loads.Busy(now, server.Cookie) {
+		reasons |= busy
+	}
 	if server.IsCold(now) {
 		reasons |= cold
 	}
--- a/placement/reach.go
+++ b/placement/reach.go
@@ -48,4 +48,6 @@
 func (r *Reach) Forget(server catalogue.Cookie) { delete(r.servers, server) }
 
 // Unreachable reports whether a server accepts no connection.
-func (r *Reach) Unreachable(server catalogue.Cookie) bool { return r.servers[server] == stateUnreachable }
+func (r *Reach) Unreachable(server catalogue.Cookie) bool {
+	return r.servers[server] == stateUnreachable
+}
