Be ready only when the data centres that are out are known

A host that started during an evacuation could place flows in the data centre that is out until its list was read. Other hosts are looked up after the start. A test of the tracker fails without the change.

--- a/catalogue/catalogue.go
+++ b/catalogue/catalogue.go
@@ -20,6 +20,8 @@
 	gone    map[Cookie]bool
 	pools   map[fleet.ServiceName][]*Server
 	hosts   []fleet.Host
+	// evacuations says that the data centres that are out are known.
+	evacuations bool
 	count   int
 }
 
@@ -54,7 +56,7 @@
 
 // Ready reports whether the catalogue suffices to forward.
 func (c *Catalogue) Ready() bool {
-	return c != nil && c.Configuration != nil && c.count > 0
+	return c != nil && c.Configuration != nil && c.evacuations && c.count > 0
 }
 
 // uniqueCookies gives each server its cookie. Of two servers with the same one
--- a/catalogue/tracker.go
+++ b/catalogue/tracker.go
@@ -418,6 +418,7 @@
 		gone:          make(map[Cookie]bool, len(t.gone)),
 		pools:         make(map[fleet.ServiceName][]*Server),
 		count:         len(t.servers),
+		evacuations:   t.listed[Evacuations],
 	}
 	if t.configuration != nil {
 		for i := range t.configuration.Routes {
--- a/catalogue/tracker_test.go
+++ b/catalogue/tracker_test.go
@@ -56,6 +56,8 @@
 	tracker.Take(start, servers(1, true, record(server("i-01", 1))))
 	is.True(!tracker.Current().Ready()) // no configuration yet
 	tracker.Take(start, configuration(2, 7))
+	is.True(!tracker.Current().Ready()) // a data centre may be out
+	tracker.Take(start, evacuations(3))
 	is.True(tracker.Current().Ready())
 	is.Equal(len(tracker.Current().Pool("bench")), 1)
 }
--- a/entry/host.go
+++ b/entry/host.go
@@ -86,7 +86,12 @@
 	}
 	for source := range catalogue.Source(catalogue.SourceCount) {
 		reader := storeReader{host: h, store: &store, follower: catalogue.Follower{Source: source}}
-		group.Go(func() error { return reader.run(work) })
+		group.Go(func() error {
+			if source == catalogue.Hosts {
+				h.awaitReady(work)
+			}
+			return reader.run(work)
+		})
 	}
 	group.Go(func() error { return (&control{host: h}).run(work) })
 	group.Go(func() error { return (&feedClient{host: h}).run(work) })
--- a/forwarding/forwarder_test.go
+++ b/forwarding/forwarder_test.go
@@ -56,13 +56,20 @@
 }
 
 func learn(answers ...catalogue.Answer) *catalogue.Catalogue {
-	var t catalogue.Tracker
+	t := newTracker()
 	for _, a := range answers {
 		t.Take(start, a)
 	}
 	return t.Current()
 }
 
+// newTracker returns a tracker that knows that no data centre is out.
+func newTracker() *catalogue.Tracker {
+	var t catalogue.Tracker
+	t.Take(start, catalogue.Answer{Source: catalogue.Evacuations, Whole: true, Version: 1})
+	return &t
+}
+
 func opening() forwarding.Packet {
 	return forwarding.Packet{Source: caller, Destination: feed, Kind: forwarding.Opening}
 }
@@ -161,7 +168,7 @@
 	is.Equal(idle[0].Destination, feed)
 	is.Equal(idle[0].Ack, uint32(77))
 
-	var tracker catalogue.Tracker
+	tracker := newTracker()
 	for _, a := range []catalogue.Answer{w.configuration("bench"), w.servers(server("i-01", "bench")), w.servers(server("i-02", "bench"))} {
 		tracker.Take(start, a)
 	}
