--- a/entry/command.go
+++ b/entry/command.go
@@ -65,7 +65,7 @@
 	defer stop()
 	lines := decisionlog.NewQueue(os.Stdout)
 	defer lines.Close()
-	logger := hclog.New(&hclog.LoggerOptions{JSONFormat: true, Output: lines})
+	logger := hclog.New(&hclog.LoggerOptions{Output: lines})
 	watcher := settingsWatcher{path: c.settings, logger: logger, changed: make(chan Settings, 1)}
 	go watcher.run(ctx)
 	h := &Host{Settings: s, Logger: logger, Reload: watcher.changed}
