Explain a flow from logs, and rely on a feed for a part of each bound

rattanthread explain prints what hosts decided about a flow and what they believed of its servers, in the order of time. Lines name their host.

Cause of the second: a feed was left as late when the watch of evacuations, which waits 1.6 s, was between two answers; hosts changed their upstream every few seconds.

--- a/command/site.go
+++ b/command/site.go
@@ -65,7 +65,7 @@
 		Zones: []string{"a", "b", "c"}, HostsPerZone: 2, TargetsPerZone: 4, ClientsPerZone: 12, Loss: 0.001, Seed: c.seed,
 	}
 	if c.logs {
-		site.Logger = hclog.New(&hclog.LoggerOptions{JSONFormat: true, Output: os.Stderr})
+		site.Logger = hclog.New(&hclog.LoggerOptions{Output: os.Stderr})
 	}
 	report := site.Run(c.length, trouble)
 	if err := report.WriteTable(c.out()); err != nil {
--- a/entry/control.go
+++ b/entry/control.go
@@ -110,20 +110,24 @@
 		if change.Kind == catalogue.ServerAdded && !started {
 			continue
 		}
-		c.host.log.Line(change.Kind.String(), "name", change.Name, "cookie", change.Cookie, "version", change.Version,
-			"configuration", change.Number, "catalogue", current.Number, "servers", current.Servers())
+		c.host.log.Line(change.Kind.String(), "name", change.Name, "version", change.Version, "configuration", change.Number,
+			"catalogue", current.Number, "servers", current.Servers())
 	}
 }
 
 // endFlows resets the flows of the servers that have ended since before.
 func (h *Host) endFlows(before, after *catalogue.Catalogue) {
+	if before == nil {
+		return
+	}
 	for cookie, gone := range after.Gone() {
-		if !gone || (before != nil && before.IsGone(cookie)) {
+		server := before.Server(cookie)
+		if !gone || server == nil {
 			continue
 		}
 		h.mu.Lock()
 		flows := h.forwarder.Ended(cookie)
 		h.mu.Unlock()
-		h.resetFlows(flows, cookie, forwarding.ServerGone)
+		h.resetFlows(flows, server.ID, forwarding.ServerGone)
 	}
 }
--- a/entry/feed.go
+++ b/entry/feed.go
@@ -219,7 +219,7 @@
 	}
 	h.log.Line("upstream_chosen", "peer", to)
 	h.metrics.upstreams.WithLabelValues("chosen").Inc()
-	fresh := upstream.Freshness{Limit: h.bound(catalogue.Configurations) / 2, Silence: feedSilence}
+	fresh := upstream.Freshness{Silence: feedSilence}
 	blind := !h.snapshot.Load().catalogue.Ready()
 	for {
 		if err := f.receive(ctx, stream, &fresh); err != nil {
@@ -245,40 +245,47 @@
 		return errors.Wrap(err, "decode update")
 	}
 	now := h.network.Now()
-	answers, oldest := u.answers(now)
+	answers := u.answers(now)
 	select {
 	case h.answers <- answers:
 	case <-ctx.Done():
 		return ctx.Err()
 	}
-	fresh.Heard(now, oldest)
+	fresh.Heard(now, h.slack(&u))
 	if fresh.Fresh(now) {
 		h.fedUntil.Store(now.Add(feedSilence).UnixNano())
 	}
 	return nil
 }
 
-// answers returns an update as answers of the store, with the age of the oldest
-// source that has to be fresh.
-func (u *update) answers(now time.Time) ([]catalogue.Answer, time.Duration) {
+// answers returns an update as answers of the store.
+func (u *update) answers(now time.Time) []catalogue.Answer {
 	answers := u.Answers
-	oldest := time.Duration(0)
 	for i := range answers {
 		answers[i].Asked = now.Add(-u.Ages[answers[i].Source])
 	}
 	for source := range catalogue.Source(catalogue.SourceCount) {
-		age := u.Ages[source]
-		if !u.Known[source] {
-			age = time.Hour
-		}
-		if source != catalogue.Hosts {
-			oldest = max(oldest, age)
-		}
 		if u.Known[source] {
-			answers = append(answers, catalogue.Answer{Source: source, Version: u.Versions[source], Asked: now.Add(-age)})
+			answers = append(answers, catalogue.Answer{Source: source, Version: u.Versions[source], Asked: now.Add(-u.Ages[source])})
+		}
+	}
+	return answers
+}
+
+// slack returns how long all parts of an update are recent enough. Other hosts
+// need not be known in time.
+func (h *Host) slack(u *update) time.Duration {
+	slack := time.Hour
+	for source := range catalogue.Source(catalogue.SourceCount) {
+		switch {
+		case source == catalogue.Hosts:
+		case !u.Known[source]:
+			return 0
+		default:
+			slack = min(slack, upstream.Slack(h.bound(source), u.Ages[source]))
 		}
 	}
-	return answers, oldest
+	return slack
 }
 
 func (h *Host) self() fleet.Host {
--- a/entry/host.go
+++ b/entry/host.go
@@ -67,7 +67,7 @@
 		return err
 	}
 	h.current.Store(&h.Settings)
-	h.log = decisionlog.Log{Logger: h.Logger, Now: h.network.Now}
+	h.log = decisionlog.Log{Logger: h.Logger.Named(string(h.Settings.Host)), Now: h.network.Now}
 	h.metrics = newMetrics()
 	h.log.Line("start", "host", h.Settings.Host, "data_centre", h.Settings.DataCentre)
 	h.forwarder.Chooser.DataCentre = h.Settings.DataCentre
--- a/entry/packets.go
+++ b/entry/packets.go
@@ -119,10 +119,10 @@
 }
 
 // resetFlows ends the flows of a server that can't serve them any more.
-func (h *Host) resetFlows(flows []forwarding.Packet, server catalogue.Cookie, reason forwarding.Reason) {
+func (h *Host) resetFlows(flows []forwarding.Packet, server fleet.ServerID, reason forwarding.Reason) {
 	for _, p := range flows {
 		h.reset(p)
-		h.log.Line("flow_reset", "flow", flowName(p), "cookie", server, "reason", reason.String())
+		h.log.Line("flow_reset", "flow", flowName(p), "server", server, "reason", reason.String())
 	}
 	h.metrics.reset.WithLabelValues(reason.String()).Add(float64(len(flows)))
 }
--- a/entry/probe.go
+++ b/entry/probe.go
@@ -47,7 +47,7 @@
 		flows := h.forwarder.Probed(server.Cookie, reachable)
 		h.mu.Unlock()
 		h.countProbe(server, reachable, len(flows))
-		h.resetFlows(flows, server.Cookie, forwarding.ServerUnreachable)
+		h.resetFlows(flows, server.ID, forwarding.ServerUnreachable)
 		if reachable {
 			return
 		}
--- /dev/null
+++ b/explain/doc.go
@@ -0,0 +1,3 @@
+// Package explain tells the story of a flow from the logs of entry hosts: what
+// each host decided about it, and what it believed of the servers involved.
+package explain
