Soak: entry hosts as processes, with signals and a proxy before the store

Real programs on loopback addresses, 2 or more in each of three data centres, one process each; seeded kills, stops, pauses, reloads, store paths that delay, reset, go silent or are cut one way, forgotten history, crashed and replaced servers, configurations and evacuations, overlapping. Checks: no request that must not be repeated runs twice, nothing unasked, no flow of a living server reset or sent elsewhere, drains, evacuations and routes hold, no host ends by itself or takes more than 128 MB.

--- a/command/command.go
+++ b/command/command.go
@@ -51,6 +51,7 @@
 		&entry.Command{},
 		&Try{},
 		&Site{},
+		&Soak{},
 		&Explain{},
 		&Matrix{},
 		&Replay{},
--- a/platformstandin/host.go
+++ b/platformstandin/host.go
@@ -15,22 +15,35 @@
 	"github.com/rattanthread/rattanthread/fleet"
 )
 
-// hostNode is a machine that runs an entry host, or none while it is down.
-type hostNode struct {
-	name string
-	zone string
-	// address is where the host accepts other hosts.
-	address netip.AddrPort
-
-	process *process
-	misses  int
-	in      bool
+// Node is a machine that runs an entry host, or none while it is down.
+type Node struct {
+	Name  string
+	Zone  string
+	Index int
+	// Peers is where the host accepts other hosts.
+	Peers netip.AddrPort
+
+	run    *Run
+	misses int
+	in     bool
+}
+
+// Run is one run of an entry host. All fields must be set.
+type Run struct {
+	// Deliver hands over a packet of a client.
+	Deliver func(packet []byte)
+	// Ready reports how a health check ends.
+	Ready func() bool
+	// Stop asks for a planned stop, and Kill ends the run at once.
+	Stop, Kill func()
+	// Dead reports whether the run has ended.
+	Dead func() bool
 }
 
 // process is one run of an entry host.
 type process struct {
 	site   *Site
-	node   *hostNode
+	node   *Node
 	host   *entry.Host
 	inbox  chan []byte
 	stop   context.CancelFunc
@@ -42,7 +55,19 @@
 const inboxPackets = 4096
 
 // start runs a new process on a machine.
-func (s *Site) start(node *hostNode) {
+func (s *Site) start(node *Node) {
+	launch := s.Launch
+	if launch == nil {
+		launch = s.launch
+	}
+	run := launch(node)
+	s.mu.Lock()
+	node.run = run
+	s.mu.Unlock()
+}
+
+// launch runs an entry host in this process, on the in-memory network.
+func (s *Site) launch(node *Node) *Run {
 	ctx, stop := context.WithCancel(context.Background())
 	p := &process{site: s, node: node, inbox: make(chan []byte, inboxPackets), stop: stop, killed: make(chan struct{})}
 	logger := s.Logger
@@ -50,18 +75,24 @@
 		logger = hclog.NewNullLogger()
 	}
 	p.host = &entry.Host{Settings: s.settings(node), Logger: logger, Network: p.network()}
-	s.mu.Lock()
-	node.process = p
-	s.mu.Unlock()
+	s.locked(func() { s.processAt[node.Peers] = p })
 	s.processes.Go(func() { _ = p.host.Run(ctx) })
+	return &Run{Deliver: p.deliver, Ready: p.host.Ready, Stop: stop, Kill: p.kill, Dead: p.dead}
+}
+
+func (p *process) deliver(packet []byte) {
+	select {
+	case p.inbox <- packet:
+	default:
+	}
 }
 
-func (s *Site) settings(node *hostNode) entry.Settings {
+func (s *Site) settings(node *Node) entry.Settings {
 	var e entry.Settings
-	e.Host, e.DataCentre = fleet.HostID(node.name), fleet.DataCentreID(node.zone)
-	e.Listen.Peers = node.address
+	e.Host, e.DataCentre = fleet.HostID(node.Name), fleet.DataCentreID(node.Zone)
+	e.Listen.Peers = node.Peers
 	for _, other := range s.hosts[:min(3, len(s.hosts))] {
-		e.Peers.Seeds = append(e.Peers.Seeds, other.address)
+		e.Peers.Seeds = append(e.Peers.Seeds, other.Peers)
 	}
 	e.Listen.Packets = netip.MustParseAddrPort("10.0.0.1:8172")
 	e.Store.Address = netip.MustParseAddrPort("10.200.0.1:8169")
@@ -119,12 +150,12 @@
 	if p.dead() {
 		return net.ErrClosed
 	}
-	p.site.sent(p.node.zone, append([]byte(nil), datagram...), to)
+	p.site.Sent(p.node.Zone, append([]byte(nil), datagram...), to)
 	return nil
 }
 
 func (p *process) connect(ctx context.Context, to netip.AddrPort) error {
-	switch p.site.answers(p.node.zone, to) {
+	switch p.site.answers(p.node.Zone, to) {
 	case Running, Draining:
 		return nil
 	case Refusing:
@@ -141,16 +172,16 @@
 // RoundTrip makes a call, or hangs.
 func (t storePath) RoundTrip(r *http.Request) (*http.Response, error) {
 	s := t.process.site
-	if t.process.dead() || s.isCut(t.process.node.zone, "") {
+	if t.process.dead() || s.isCut(t.process.node.Zone, "") {
 		<-r.Context().Done()
 		return nil, r.Context().Err()
 	}
-	return s.Store.Transport(t.process.node.name).RoundTrip(r)
+	return s.Store.Transport(t.process.node.Name).RoundTrip(r)
 }
 
 // dialFeed opens a stream to the process at an address.
 func (p *process) dialFeed(ctx context.Context, to netip.AddrPort) (*entry.Stream, error) {
-	peer := p.site.processAt(p.node.zone, to)
+	peer := p.site.peerAt(p.node.Zone, to)
 	if peer == nil || p.dead() {
 		<-ctx.Done()
 		return nil, ctx.Err()
@@ -172,7 +203,7 @@
 func (p *process) stream(peer *process, out chan<- []byte, in <-chan []byte, closed <-chan struct{}, end func()) *entry.Stream {
 	return &entry.Stream{
 		Send: func(ctx context.Context, message []byte) error {
-			if p.site.isCut(p.node.zone, peer.node.zone) {
+			if p.site.isCut(p.node.Zone, peer.node.Zone) {
 				return nil
 			}
 			select {
--- a/platformstandin/site.go
+++ b/platformstandin/site.go
@@ -38,6 +38,12 @@
 	// Loss is the share of packets that are lost.
 	Loss float64
 	Seed uint64
+	// Launch starts an entry host on a machine; nil runs it in memory.
+	Launch func(node *Node) *Run
+	// Address returns that of the target of a number; nil means one in memory.
+	Address func(number int) netip.AddrPort
+	// ClientAddress returns that of the client of a number; nil means one in memory.
+	ClientAddress func(zone, number int) netip.Addr
 	// Logger gets the logs of the hosts; nil drops them.
 	Logger hclog.Logger
 
@@ -46,19 +52,21 @@
 	bound     time.Duration
 	processes sync.WaitGroup
 
-	mu       sync.Mutex
-	random   *rand.Rand
-	start0   time.Time
-	hosts    []*hostNode
-	targets  []*Target
-	byAddr   map[netip.AddrPort]*Target
-	classes  []Class
-	clients  map[flowID]listener
-	owners   map[flowID]*Target
-	cut      map[string]bool
-	harmed   time.Time
-	out      string
-	outSince time.Time
+	mu     sync.Mutex
+	random *rand.Rand
+	start0 time.Time
+	hosts  []*Node
+	// processAt holds the processes in memory, by where they accept other hosts.
+	processAt map[netip.AddrPort]*process
+	targets   []*Target
+	byAddr    map[netip.AddrPort]*Target
+	classes   []Class
+	clients   map[flowID]listener
+	owners    map[flowID]*Target
+	cut       map[string]bool
+	harmed    time.Time
+	out       string
+	outSince  time.Time
 	// storeHarmed is when the store was first disturbed; zero if never.
 	storeHarmed time.Time
 	press       float64
@@ -110,17 +118,20 @@
 	cancel()
 	actors.Wait()
 	for _, node := range s.hosts {
-		node.process.kill()
+		node.run.Kill()
 	}
 	s.processes.Wait()
 	return s.finish()
 }
 
 func (s *Site) prepare() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.bound = 3 * time.Second
 	s.press = 1
 	s.random = rand.New(rand.NewPCG(s.Seed, 1))
 	s.byAddr = make(map[netip.AddrPort]*Target)
+	s.processAt = make(map[netip.AddrPort]*process)
 	s.clients = make(map[flowID]listener)
 	s.owners = make(map[flowID]*Target)
 	s.cut = make(map[string]bool)
@@ -134,9 +145,9 @@
 	for _, zone := range s.Zones {
 		for range s.HostsPerZone {
 			n := len(s.hosts)
-			s.hosts = append(s.hosts, &hostNode{
-				name: fmt.Sprintf("host-%s-%d", zone, n), zone: zone, in: true,
-				address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1, byte(n)}), 8166),
+			s.hosts = append(s.hosts, &Node{
+				Name: fmt.Sprintf("host-%s-%d", zone, n), Zone: zone, Index: n, in: true,
+				Peers: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1, byte(n)}), 8166),
 			})
 		}
 		for range s.TargetsPerZone {
@@ -166,7 +177,7 @@
 	s.nextID++
 	t := &Target{
 		ID: fmt.Sprintf("i-%010x", 0x7f00000000+s.nextID), Service: service, Zone: zone, Work: work,
-		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 128, byte(s.nextID >> 8), byte(s.nextID)}), 8080),
+		Address: s.targetAddress(s.nextID),
 		flows:   make(map[flowID]*targetFlow),
 	}
 	t.tag, _ = strconv.ParseUint(strings.TrimPrefix(t.ID, "i-"), 16, 64)
@@ -175,6 +186,20 @@
 	return t
 }
 
+func (s *Site) targetAddress(number int) netip.AddrPort {
+	if s.Address != nil {
+		return s.Address(number)
+	}
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 128, byte(number >> 8), byte(number)}), 8080)
+}
+
+func (s *Site) clientAddress(zone, number int) netip.Addr {
+	if s.ClientAddress != nil {
+		return s.ClientAddress(zone, number)
+	}
+	return netip.AddrFrom4([4]byte{100, byte(64 + zone), byte(number >> 8), byte(number)})
+}
+
 // register writes the targets to the store, and removes those that are silent.
 func (s *Site) register(ctx context.Context) {
 	silent := make(map[string]int)
@@ -226,7 +251,7 @@
 				n++
 				c := &client{
 					site: s, zone: zone, class: class, pause: 200 * time.Millisecond, port: 1000,
-					address: netip.AddrFrom4([4]byte{100, byte(64 + z), byte(n >> 8), byte(n)}),
+					address: s.clientAddress(z, n),
 					random:  rand.New(rand.NewPCG(s.Seed, uint64(100*n+k))),
 				}
 				actors.Go(func() { c.run(ctx) })
@@ -238,16 +263,10 @@
 // checkHosts keeps the rotation: two missed health checks take a host out.
 func (s *Site) checkHosts(ctx context.Context) {
 	for {
-		s.mu.Lock()
 		for _, node := range s.hosts {
-			if node.process != nil && !node.process.dead() && node.process.host.Ready() {
-				node.misses, node.in = 0, true
-				continue
-			}
-			node.misses++
-			node.in = node.in && node.misses < 2
+			ready := node.run != nil && !node.run.Dead() && node.run.Ready()
+			s.locked(func() { node.checked(ready) })
 		}
-		s.mu.Unlock()
 		select {
 		case <-ctx.Done():
 			return
@@ -256,32 +275,36 @@
 	}
 }
 
+func (n *Node) checked(ready bool) {
+	if ready {
+		n.misses, n.in = 0, true
+		return
+	}
+	n.misses++
+	n.in = n.in && n.misses < 2
+}
+
 // route sends a client's packet to an entry host of its zone.
 func (s *Site) route(zone string, p segment) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	node := s.pick(zone, p.flow)
-	if node == nil || node.process == nil || node.process.dead() || s.loses() {
+	if node == nil || node.run == nil || node.run.Dead() || s.loses() {
 		return
 	}
-	process, packet := node.process, p.encode()
-	s.after(clientDelay, func() {
-		select {
-		case process.inbox <- packet:
-		default:
-		}
-	})
+	run, packet := node.run, p.encode()
+	s.after(clientDelay, func() { run.Deliver(packet) })
 }
 
 // pick hashes a flow over the hosts in rotation of a zone, all of the zone's if
 // fewer than half are, and those of the other zones if none is.
-func (s *Site) pick(zone string, flow flowID) *hostNode {
-	var in, all, others []*hostNode
+func (s *Site) pick(zone string, flow flowID) *Node {
+	var in, all, others []*Node
 	for _, node := range s.hosts {
 		switch {
-		case node.zone != zone && node.in:
+		case node.Zone != zone && node.in:
 			others = append(others, node)
-		case node.zone == zone:
+		case node.Zone == zone:
 			all = append(all, node)
 			if node.in {
 				in = append(in, node)
@@ -294,11 +317,11 @@
 	case 2*len(in) < len(all):
 		in = all
 	}
-	var best *hostNode
+	var best *Node
 	var most uint64
 	for _, node := range in {
 		h := fnv.New64a()
-		_, _ = fmt.Fprint(h, flow.client, flow.route, node.name)
+		_, _ = fmt.Fprint(h, flow.client, flow.route, node.Name)
 		if sum := h.Sum64(); best == nil || sum > most {
 			best, most = node, sum
 		}
@@ -306,8 +329,8 @@
 	return best
 }
 
-// sent carries a datagram of an entry host to a target or a client.
-func (s *Site) sent(zone string, datagram []byte, to netip.AddrPort) {
+// Sent carries a datagram of an entry host of a zone to a target or a client.
+func (s *Site) Sent(zone string, datagram []byte, to netip.AddrPort) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.loses() {
@@ -412,16 +435,15 @@
 	return t.state
 }
 
-// processAt returns the process that accepts hosts at an address, or nil.
-func (s *Site) processAt(zone string, address netip.AddrPort) *process {
+// peerAt returns the process that accepts hosts at an address, or nil.
+func (s *Site) peerAt(zone string, address netip.AddrPort) *process {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, node := range s.hosts {
-		if node.address == address && node.process != nil && !node.process.dead() && !s.cutLocked(zone, node.zone) {
-			return node.process
-		}
+	p := s.processAt[address]
+	if p == nil || p.dead() || s.cutLocked(zone, p.node.Zone) {
+		return nil
 	}
-	return nil
+	return p
 }
 
 func (s *Site) listen(zone string, flow flowID, inbox chan answer) {
--- a/platformstandin/trouble.go
+++ b/platformstandin/trouble.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"time"
 )
 
@@ -84,15 +85,7 @@
 func (s *Site) release(at time.Duration, count int) {
 	time.Sleep(at)
 	for i := range count {
-		s.locked(func() {
-			old := s.targets[i]
-			s.addTarget(old.Service, old.Zone, old.Work)
-			old.state, old.since = Draining, time.Now()
-			s.after(drainTime, func() {
-				old.crash(Dark)
-				s.Store.Delete("servers", old.ID)
-			})
-		})
+		s.locked(func() { s.replace(s.targets[i]) })
 		time.Sleep(time.Second)
 	}
 }
@@ -100,11 +93,9 @@
 func (s *Site) evacuate() {
 	time.Sleep(3 * time.Second)
 	zone := s.Zones[len(s.Zones)-1]
-	s.Store.Put("evacuations", zone, map[string]any{})
-	s.locked(func() { s.out, s.outSince = zone, time.Now() })
+	s.Evacuate(zone)
 	time.Sleep(8 * time.Second)
-	s.Store.Delete("evacuations", zone)
-	s.locked(func() { s.out = "" })
+	s.Return(zone)
 }
 
 // evacuated returns for how long a zone has been out, if it is.
@@ -122,7 +113,7 @@
 func (s *Site) rollHosts() {
 	time.Sleep(2 * time.Second)
 	for _, node := range s.hosts {
-		node.process.stop()
+		node.run.Stop()
 		time.Sleep(2200 * time.Millisecond)
 		s.start(node)
 		time.Sleep(time.Second)
@@ -138,13 +129,13 @@
 
 func (s *Site) kill(from int) {
 	for _, node := range s.hosts[from:] {
-		node.process.kill()
+		node.run.Kill()
 	}
 }
 
 func (s *Site) restart() {
 	for _, node := range s.hosts {
-		if node.process.dead() {
+		if node.run.Dead() {
 			s.start(node)
 		}
 	}
@@ -160,8 +151,88 @@
 	})
 }
 
-// storeCalm reports whether the store has long been undisturbed.
-func (s *Site) storeCalm() bool { return s.storeHarmed.IsZero() }
+// calmTime is how long after the last harm the bounds hold again.
+const calmTime = 8 * time.Second
+
+// storeCalm reports whether the store and the hosts have long been undisturbed.
+func (s *Site) storeCalm() bool {
+	return s.storeHarmed.IsZero() || time.Since(s.storeHarmed) > calmTime
+}
+
+// Harm notes that the store or hosts are being disturbed: the bounds on drains
+// and evacuations do not hold for a while.
+func (s *Site) Harm() { s.locked(func() { s.storeHarmed = time.Now() }) }
+
+// Break notes a broken rule that was found outside.
+func (s *Site) Break(what string) { s.locked(func() { s.breaks(what) }) }
+
+// State returns what has become of the target at an address.
+func (s *Site) State(address netip.AddrPort) TargetState { return s.answers("", address) }
+
+// Hosts returns the machines of the entry hosts.
+func (s *Site) Hosts() []*Node { return s.hosts }
+
+// Restart starts a new run of an entry host.
+func (s *Site) Restart(node *Node) { s.start(node) }
+
+// RunOf returns the latest run of a machine's entry host.
+func (s *Site) RunOf(node *Node) *Run {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return node.run
+}
+
+// Crash ends a target of a number at once; its machine refuses packets.
+func (s *Site) Crash(number int) {
+	s.locked(func() {
+		if t := s.targets[number%len(s.targets)]; t.state == Running && s.spare(t) {
+			t.crash(Refusing)
+		}
+	})
+}
+
+// Release replaces a target of a number.
+func (s *Site) Release(number int) {
+	s.locked(func() {
+		old := s.targets[number%len(s.targets)]
+		if old.state == Running {
+			s.replace(old)
+		}
+	})
+}
+
+// spare reports whether other targets of the service are running.
+func (s *Site) spare(t *Target) bool {
+	running := 0
+	for _, other := range s.targets {
+		if other.Service == t.Service && other.state == Running {
+			running++
+		}
+	}
+	return running > 2
+}
+
+// replace adds a target in place of one that drains and then ends.
+func (s *Site) replace(old *Target) {
+	s.addTarget(old.Service, old.Zone, old.Work)
+	old.state, old.since = Draining, time.Now()
+	s.after(drainTime, func() {
+		old.crash(Dark)
+		s.Store.Delete("servers", old.ID)
+	})
+}
+
+// Evacuate takes a zone out, and Return takes it back.
+func (s *Site) Evacuate(zone string) {
+	s.Store.Put("evacuations", zone, map[string]any{})
+	s.locked(func() { s.out, s.outSince = zone, time.Now() })
+}
+
+// Return takes a zone back.
+func (s *Site) Return(zone string) {
+	s.Store.Delete("evacuations", zone)
+	s.locked(func() { s.out = "" })
+}
 
 func (s *Site) storeFails(f Faults) {
 	time.Sleep(3 * time.Second)
@@ -184,13 +255,13 @@
 	s.locked(func() { s.storeHarmed = time.Now() })
 	for i, node := range s.hosts {
 		if i%3 == 0 {
-			s.Store.Refuse(node.name, Faults{Outage: Many})
+			s.Store.Refuse(node.Name, Faults{Outage: Many})
 		}
 	}
 	s.release(0, 1)
 	time.Sleep(troubleTime)
 	for _, node := range s.hosts {
-		s.Store.Refuse(node.name, Faults{})
+		s.Store.Refuse(node.Name, Faults{})
 	}
 }
 
