Show that the site's checks can fail

Seven entry hosts that each break a rule - another service, another server, a reset of a living flow, a new flow for a draining server or a data centre that is out, a changed request, a request sent twice - must be noticed.

--- /dev/null
+++ b/platformstandin/checks_test.go
@@ -0,0 +1,171 @@
+package platformstandin_test
+
+import (
+	"encoding/binary"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/rattanthread/rattanthread/catalogue"
+	"github.com/rattanthread/rattanthread/forwarding"
+	"github.com/rattanthread/rattanthread/platform"
+	"github.com/rattanthread/rattanthread/platformstandin"
+)
+
+// rogue is an entry host that breaks one rule.
+type rogue struct {
+	site  *platformstandin.Site
+	node  *platformstandin.Node
+	store platform.Store
+	act   func(r *rogue, p forwarding.Packet, datagram []byte, servers []*catalogue.Server)
+}
+
+// deliver acts on a packet with all servers of the store at hand.
+func (r *rogue) deliver(t *testing.T, packet []byte) {
+	p, err := platform.ParsePacket(packet)
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	go func() {
+		answer, err := r.store.List(t.Context(), catalogue.Servers)
+		if err != nil {
+			return
+		}
+		var servers []*catalogue.Server
+		for _, record := range answer.Records {
+			servers = append(servers, record.Server)
+		}
+		r.act(r, p, append(make([]byte, platform.TagBytes), packet...), servers)
+	}()
+}
+
+// send sends a packet on to a server.
+func (r *rogue) send(datagram []byte, server *catalogue.Server) {
+	platform.Address(datagram, server.Tag, catalogue.CookieOf(server.ID))
+	r.site.Sent(r.node.Zone, datagram, server.Address)
+}
+
+// reset resets the flow of a packet.
+func (r *rogue) reset(p forwarding.Packet) {
+	r.site.Sent(r.node.Zone, platform.AppendReset(nil, p), netip.AddrPortFrom(p.Source.Addr(), 8172))
+}
+
+// byCookie returns the server of a flow, or the first one of the right service
+// for a new flow.
+func byCookie(p forwarding.Packet, servers []*catalogue.Server) *catalogue.Server {
+	service := "press"
+	if p.Destination.Addr() == netip.MustParseAddr("198.18.0.1") {
+		service = "bench"
+	}
+	for _, server := range servers {
+		if p.Kind != forwarding.Opening && catalogue.CookieOf(server.ID) == p.Cookie {
+			return server
+		}
+	}
+	for _, server := range servers {
+		if p.Kind == forwarding.Opening && string(server.Service) == service {
+			return server
+		}
+	}
+	return nil
+}
+
+// TestChecksCanFail runs hosts that break a rule and demands that it is noticed.
+func TestChecksCanFail(t *testing.T) {
+	tests := []struct {
+		rule, trouble string
+		act           func(r *rogue, p forwarding.Packet, datagram []byte, servers []*catalogue.Server)
+	}{
+		{"ROUTE", "none", func(r *rogue, p forwarding.Packet, datagram []byte, servers []*catalogue.Server) {
+			r.send(datagram, servers[int(p.Seq)%len(servers)])
+		}},
+		{"FLOW: a packet", "none", func(r *rogue, p forwarding.Packet, datagram []byte, servers []*catalogue.Server) {
+			own := byCookie(p, servers)
+			for _, other := range servers {
+				if own != nil && p.Length > 0 && other != own {
+					own = other
+					break
+				}
+			}
+			if own != nil {
+				r.send(datagram, own)
+			}
+		}},
+		{"was reset", "none", func(r *rogue, p forwarding.Packet, datagram []byte, servers []*catalogue.Server) {
+			if server := byCookie(p, servers); server != nil {
+				r.send(datagram, server)
+			}
+			if p.Length > 0 && p.Seq%5 == 0 {
+				r.reset(p)
+			}
+		}},
+		{"DRAIN", "drain", func(r *rogue, p forwarding.Packet, datagram []byte, servers []*catalogue.Server) {
+			if server := byCookie(p, servers); server != nil {
+				r.send(datagram, server) // draining or not
+			}
+		}},
+		{"EVAC", "evacuate", func(r *rogue, p forwarding.Packet, datagram []byte, servers []*catalogue.Server) {
+			server := byCookie(p, servers)
+			for _, other := range servers {
+				if p.Kind == forwarding.Opening && other.Service == server.Service {
+					server = other // the last one, in the data centre that is taken out
+				}
+			}
+			if server != nil {
+				r.send(datagram, server)
+			}
+		}},
+		{"UNASKED", "none", func(r *rogue, p forwarding.Packet, datagram []byte, servers []*catalogue.Server) {
+			server := byCookie(p, servers)
+			if server == nil {
+				return
+			}
+			if p.Length > 0 {
+				binary.BigEndian.PutUint64(datagram[platform.TagBytes+platform.HeaderBytes:], 1<<60)
+			}
+			r.send(datagram, server)
+		}},
+		{"ran twice", "none", func(r *rogue, p forwarding.Packet, datagram []byte, servers []*catalogue.Server) {
+			if server := byCookie(p, servers); server != nil {
+				r.send(datagram, server)
+			}
+			if p.Length > 0 { // the same request on another flow
+				binary.BigEndian.PutUint16(datagram[platform.TagBytes+8:], p.Source.Port()+20000)
+				datagram[platform.TagBytes+30] = 8
+				for _, server := range servers[:1] {
+					r.send(append([]byte(nil), datagram...), server)
+					datagram[platform.TagBytes+30] = 128
+					r.send(datagram, server)
+				}
+			}
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.rule, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				trouble, ok := platformstandin.FindTrouble(test.trouble)
+				is.True(ok)
+				site := &platformstandin.Site{Zones: []string{"a", "b"}, HostsPerZone: 1, TargetsPerZone: 2, ClientsPerZone: 4, Seed: 1}
+				site.Launch = func(node *platformstandin.Node) *platformstandin.Run {
+					r := &rogue{site: site, node: node, act: test.act, store: platform.Store{
+						Address: func() string { return "store" },
+						HTTP:    &http.Client{Transport: site.Store.Transport(node.Name)},
+					}}
+					return &platformstandin.Run{
+						Deliver: func(packet []byte) { r.deliver(t, packet) },
+						Ready:   func() bool { return true }, Dead: func() bool { return false }, Stop: func() {}, Kill: func() {},
+					}
+				}
+				report := site.Run(12*time.Second, trouble)
+				is.True(strings.Contains(strings.Join(report.Broken, "\n"), test.rule)) // the rule is noticed as broken
+			})
+		})
+	}
+}
