Ask by a health check who answers a probe

The new server accepted the probe, so the old one counted as reachable, and new flows were placed on it until its record lapsed, 2 s more.

Change: a probe that is accepted asks for the id of the server; another id shows that the server has ended. One that is accepted and not answered is alive and slow.

--- a/catalogue/catalogue.go
+++ b/catalogue/catalogue.go
@@ -22,7 +22,7 @@
 	hosts   []fleet.Host
 	// evacuations says that the data centres that are out are known.
 	evacuations bool
-	count   int
+	count       int
 }
 
 // Route returns the route of an address, or nil.
@@ -51,6 +51,14 @@
 	return c.hosts
 }
 
+// Service returns what the configuration says of a service, if anything.
+func (c *Catalogue) Service(name fleet.ServiceName) Service {
+	if c == nil || c.Configuration == nil {
+		return Service{}
+	}
+	return c.Configuration.Services[name]
+}
+
 // Servers returns how many servers are known.
 func (c *Catalogue) Servers() int { return c.count }
 
--- a/catalogue/configuration.go
+++ b/catalogue/configuration.go
@@ -23,6 +23,8 @@
 // Service is what the configuration says of a service.
 type Service struct {
 	Name fleet.ServiceName `cbor:"name"`
+	// HealthPath is the path of the health checks of the service's servers.
+	HealthPath string `cbor:"health_path"`
 	// Warmup is how long a server bears little load after its start.
 	Warmup time.Duration `cbor:"warmup"`
 	// ColdRate is how many requests a second a cold server bears. Zero means
--- a/entry/export_test.go
+++ b/entry/export_test.go
@@ -4,6 +4,8 @@
 	"context"
 
 	"github.com/hashicorp/go-hclog"
+
+	"github.com/rattanthread/rattanthread/catalogue"
 )
 
 // Watcher looks at a settings file when a test says so.
@@ -19,3 +21,10 @@
 
 // Changed returns the settings that were passed on.
 func (w *Watcher) Changed() <-chan Settings { return w.w.changed }
+
+// Accepts probes a server over a network.
+func Accepts(ctx context.Context, network Network, server *catalogue.Server) bool {
+	h := Host{network: network}
+	h.snapshot.Store(&snapshot{})
+	return h.accepts(ctx, server)
+}
--- a/entry/network.go
+++ b/entry/network.go
@@ -11,6 +11,8 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/rattanthread/rattanthread/catalogue"
+	"github.com/rattanthread/rattanthread/fleet"
+	"github.com/rattanthread/rattanthread/platform"
 )
 
 const (
@@ -28,8 +30,9 @@
 	Receive func(buffer []byte) (int, error)
 	// Send sends a datagram.
 	Send func(datagram []byte, to netip.AddrPort) error
-	// Connect opens a connection to a server and closes it.
-	Connect func(ctx context.Context, to netip.AddrPort) error
+	// Identify opens a connection to an address and asks by a health check who is
+	// there. The id is empty if a connection was accepted and nothing was told.
+	Identify func(ctx context.Context, to netip.AddrPort, path string) (fleet.ServerID, error)
 	// Serve answers health checks until ctx ends.
 	Serve func(ctx context.Context, checks http.Handler) error
 	// ServeMetrics answers who asks for metrics until ctx ends.
@@ -70,7 +73,7 @@
 			_, err := packets.WriteToUDPAddrPort(datagram, to)
 			return err
 		},
-		Connect:      connect,
+		Identify:     platform.Identify,
 		Serve:        func(ctx context.Context, checks http.Handler) error { return serve(ctx, readiness, checks) },
 		ServeMetrics: func(ctx context.Context, handler http.Handler) error { return serve(ctx, metrics, handler) },
 		ServeFeed: func(ctx context.Context, accept func(context.Context, *Stream)) error {
@@ -109,14 +112,6 @@
 	return listeners, nil
 }
 
-func connect(ctx context.Context, to netip.AddrPort) error {
-	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp4", to.String())
-	if err != nil {
-		return err
-	}
-	return conn.Close()
-}
-
 func serve(ctx context.Context, listener net.Listener, checks http.Handler) error {
 	server := http.Server{Handler: checks, ReadHeaderTimeout: readHeaderTimeout}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
--- a/entry/probe.go
+++ b/entry/probe.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rattanthread/rattanthread/catalogue"
+	"github.com/rattanthread/rattanthread/fleet"
 	"github.com/rattanthread/rattanthread/forwarding"
 )
 
@@ -75,28 +76,33 @@
 }
 
 // accepts reports whether a server accepts a connection. Several are tried, as
-// one packet may be lost; a host that refuses two has no server.
+// one packet may be lost; a host that refuses two has no server. One on which
+// another server answers, to which the address has gone, has not either.
 func (h *Host) accepts(ctx context.Context, server *catalogue.Server) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTime)
 	defer cancel()
-	results := make(chan error, probeAttempts)
+	path := h.snapshot.Load().catalogue.Service(server.Service).HealthPath
+	results := make(chan probeResult, probeAttempts)
 	next := time.NewTicker(probeGap)
 	defer next.Stop()
 	tried, refused := 0, 0
 	try := func() {
 		if tried < probeAttempts {
 			tried++
-			go func() { results <- h.network.Connect(ctx, server.Address) }()
+			go func() {
+				id, err := h.network.Identify(ctx, server.Address, path)
+				results <- probeResult{id, err}
+			}()
 		}
 	}
 	try()
 	for {
 		select {
-		case err := <-results:
-			if err == nil {
-				return true
+		case r := <-results:
+			if r.err == nil {
+				return r.id == "" || r.id == server.ID
 			}
-			if errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) {
+			if errors.Is(r.err, syscall.ECONNREFUSED) || errors.Is(r.err, syscall.ECONNRESET) {
 				refused++
 			}
 			if refused == maxRefused {
@@ -106,6 +112,29 @@
 		case <-next.C:
 			try()
 		case <-ctx.Done():
+			return h.acceptedLate(results)
+		}
+	}
+}
+
+// probeResult is who answered a probe, if a connection was accepted.
+type probeResult struct {
+	id  fleet.ServerID
+	err error
+}
+
+// acceptedLate waits for the probes that were cut off by the end of their time:
+// one that was accepted and not answered shows a server that is alive and slow.
+func (h *Host) acceptedLate(results <-chan probeResult) bool {
+	timer := time.NewTimer(probeGap)
+	defer timer.Stop()
+	for {
+		select {
+		case r := <-results:
+			if r.err == nil {
+				return true
+			}
+		case <-timer.C:
 			return false
 		}
 	}
--- a/platformstandin/host.go
+++ b/platformstandin/host.go
@@ -115,9 +115,9 @@
 // network is what the process reaches of the site.
 func (p *process) network() *entry.Network {
 	return &entry.Network{
-		Receive: p.receive,
-		Send:    p.send,
-		Connect: p.connect,
+		Receive:  p.receive,
+		Send:     p.send,
+		Identify: p.identify,
 		Serve: func(ctx context.Context, _ http.Handler) error {
 			<-ctx.Done()
 			return nil
@@ -154,16 +154,17 @@
 	return nil
 }
 
-func (p *process) connect(ctx context.Context, to netip.AddrPort) error {
-	switch p.site.answers(p.node.Zone, to) {
+func (p *process) identify(ctx context.Context, to netip.AddrPort, _ string) (fleet.ServerID, error) {
+	id, state := p.site.occupant(p.node.Zone, to)
+	switch state {
 	case Running, Draining:
-		return nil
+		return id, nil
 	case Refusing:
-		return syscall.ECONNREFUSED
+		return "", syscall.ECONNREFUSED
 	case Dark:
 	}
 	<-ctx.Done()
-	return ctx.Err()
+	return "", ctx.Err()
 }
 
 // storePath carries a host's calls, unless the host's zone is cut off.
--- a/platformstandin/site.go
+++ b/platformstandin/site.go
@@ -13,6 +13,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/rattanthread/rattanthread/fleet"
 	"github.com/rattanthread/rattanthread/platform"
 )
 
@@ -424,15 +425,15 @@
 
 func (s *Site) cutLocked(a, b string) bool { return a != b && (s.cut[a] || s.cut[b]) }
 
-// answers returns how a target's machine answers a connection from a zone.
-func (s *Site) answers(zone string, to netip.AddrPort) TargetState {
+// occupant returns who answers a connection from a zone to an address, and how.
+func (s *Site) occupant(zone string, to netip.AddrPort) (fleet.ServerID, TargetState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.byAddr[to]
 	if t == nil || s.cutLocked(zone, t.Zone) {
-		return Dark
+		return "", Dark
 	}
-	return t.state
+	return fleet.ServerID(t.ID), t.state
 }
 
 // peerAt returns the process that accepts hosts at an address, or nil.
--- a/platformstandin/trouble.go
+++ b/platformstandin/trouble.go
@@ -19,6 +19,7 @@
 		{"none", "nothing happens", nil},
 		{"crash_dark", "two targets fall silent for good", func(s *Site) { s.crash(3*time.Second, Dark, 2) }},
 		{"crash_refusing", "the targets of a zone crash, their machines refuse", func(s *Site) { s.crashZone(3*time.Second, Refusing) }},
+		{"reuse", "targets crash, and their addresses go to another service", (*Site).reuse},
 		{"drain", "targets are replaced one after the other", func(s *Site) { s.release(3*time.Second, 3) }},
 		{"evacuate", "a zone is taken out and back", (*Site).evacuate},
 		{"burst", "clients send three times as much", (*Site).burst},
@@ -78,6 +79,26 @@
 	})
 }
 
+// reuse lets targets crash. Their addresses go to targets of another service
+// while their records are still there.
+func (s *Site) reuse() {
+	time.Sleep(3 * time.Second)
+	s.locked(func() {
+		for _, old := range s.targets[:2] {
+			old.crash(Dark)
+		}
+	})
+	time.Sleep(2 * time.Second)
+	s.locked(func() {
+		for _, old := range s.targets[:2] {
+			next := s.addTarget("press", old.Zone, 5*time.Millisecond)
+			delete(s.byAddr, next.Address)
+			next.Address = old.Address
+			s.byAddr[next.Address] = next
+		}
+	})
+}
+
 // drainTime is how long a draining target serves on.
 const drainTime = 4 * time.Second
 
@@ -167,7 +188,10 @@
 func (s *Site) Break(what string) { s.locked(func() { s.breaks(what) }) }
 
 // State returns what has become of the target at an address.
-func (s *Site) State(address netip.AddrPort) TargetState { return s.answers("", address) }
+func (s *Site) State(address netip.AddrPort) TargetState {
+	_, state := s.occupant("", address)
+	return state
+}
 
 // Hosts returns the machines of the entry hosts.
 func (s *Site) Hosts() []*Node { return s.hosts }
