Keep up with thousands of servers

A list over a slow link took longer than a call had, and was begun again and again; hosts without a catalogue asked seeds of other data centres after 0.3 s; each change built a whole catalogue; each opening packet looked at all servers of its service.

Change: a list that failed gets more time; seeds are asked once the store is lost, or after 2 s; a catalogue is built for at most a twentieth of the time; an opening packet looks at the servers of its own data centre first.

--- a/catalogue/catalogue.go
+++ b/catalogue/catalogue.go
@@ -18,7 +18,7 @@
 	routes  map[netip.AddrPort]*Route
 	servers map[Cookie]*Server
 	gone    map[Cookie]bool
-	pools   map[fleet.ServiceName][]*Server
+	pools   map[fleet.ServiceName]*Pool
 	hosts   []fleet.Host
 	// evacuations says that the data centres that are out are known.
 	evacuations bool
@@ -40,8 +40,31 @@
 // Pick returns the service that a new flow goes to, by a hash of the flow.
 func (c *Catalogue) Pick(route *Route, hash uint64) fleet.ServiceName { return route.pick(hash) }
 
-// Pool returns the servers of a service that may get new flows.
-func (c *Catalogue) Pool(service fleet.ServiceName) []*Server { return c.pools[service] }
+// Pool holds the servers of a service that may get new flows.
+type Pool struct {
+	All    []*Server
+	Places map[fleet.DataCentreID][]*Server
+}
+
+// Pool returns the servers of a service that may get new flows. It is empty, and
+// not nil, for a service that has none.
+func (c *Catalogue) Pool(service fleet.ServiceName) *Pool {
+	if pool := c.pools[service]; pool != nil {
+		return pool
+	}
+	return &Pool{}
+}
+
+// add puts a server into the pool of its service.
+func (c *Catalogue) add(server *Server) {
+	pool := c.pools[server.Service]
+	if pool == nil {
+		pool = &Pool{Places: make(map[fleet.DataCentreID][]*Server)}
+		c.pools[server.Service] = pool
+	}
+	pool.All = append(pool.All, server)
+	pool.Places[server.DataCentre] = append(pool.Places[server.DataCentre], server)
+}
 
 // Hosts returns the entry hosts that have registered.
 func (c *Catalogue) Hosts() []fleet.Host {
--- a/catalogue/follower.go
+++ b/catalogue/follower.go
@@ -23,6 +23,8 @@
 	hostsWait = 10 * time.Second
 	// callTimeout is how long a call may take beyond the time it waits.
 	callTimeout = 600 * time.Millisecond
+	// maxPatience bounds how many times callTimeout a call gets after failed ones.
+	maxPatience = 8
 	// firstPause and maxPause bound the pause after failed calls.
 	firstPause = 250 * time.Millisecond
 	maxPause   = 500 * time.Millisecond
@@ -53,9 +55,11 @@
 // Next returns the next call. After a failed one the store is asked for an
 // immediate answer, so that its return is noticed at once.
 func (f *Follower) Next() Call {
+	// A call that takes long, as a long list over a slow link does, gets more time.
 	if f.version == 0 || f.forgotten {
-		return Call{Source: f.Source, Whole: true, Timeout: callTimeout}
+		return Call{Source: f.Source, Whole: true, Timeout: callTimeout * time.Duration(min(1+f.failed, maxPatience))}
 	}
+	timeout := callTimeout * time.Duration(min(max(1, f.failed), maxPatience))
 	wait := min(f.Bound/3, maxWait)
 	if f.Source == Hosts {
 		wait = hostsWait
@@ -63,7 +67,7 @@
 	if f.failed > 0 {
 		wait = 0
 	}
-	return Call{Source: f.Source, After: f.version, Wait: wait, Timeout: wait + callTimeout}
+	return Call{Source: f.Source, After: f.version, Wait: wait, Timeout: wait + timeout}
 }
 
 // Answered takes in an answer. It reports whether the store was lost before.
--- a/catalogue/follower_test.go
+++ b/catalogue/follower_test.go
@@ -56,3 +56,17 @@
 	f.Learned(9) // a peer knows what has changed since
 	is.Equal(f.Next().After, catalogue.Version(9))
 }
+
+// TestLongListGetsTime is a list of many servers over a slow link, which takes
+// longer than a call usually may.
+func TestLongListGetsTime(t *testing.T) {
+	is := is.New(t)
+	f := catalogue.Follower{Source: catalogue.Servers, Bound: 5 * time.Second}
+	waited := time.Duration(0)
+	for f.Next().Timeout < 2*time.Second {
+		waited += f.Next().Timeout
+		pause, _ := f.Failed()
+		waited += pause
+	}
+	is.True(waited < 8*time.Second)
+}
--- a/catalogue/server.go
+++ b/catalogue/server.go
@@ -36,6 +36,8 @@
 // Server is a registered backend server. It is immutable once it is part of a
 // Catalogue.
 type Server struct {
+	_ struct{} `cbor:",toarray"`
+
 	ID         fleet.ServerID     `cbor:"id"`
 	Service    fleet.ServiceName  `cbor:"service"`
 	Address    netip.AddrPort     `cbor:"address"`
--- a/catalogue/tracker.go
+++ b/catalogue/tracker.go
@@ -110,6 +110,8 @@
 	// count as that of the store. Zero means DefaultOutage.
 	Outage time.Duration
 
+	// changed says that current is out of date.
+	changed    bool
 	current    *Catalogue
 	changes    []Change
 	number     uint64
@@ -117,6 +119,8 @@
 	confirmed  [sourceCount]time.Time
 	listed     [sourceCount]bool
 	graceUntil time.Time
+	// lapsed says that some server's record has lapsed.
+	lapsed bool
 
 	configuration        *Configuration
 	configurationVersion Version
@@ -133,8 +137,15 @@
 	lapsed time.Time
 }
 
-// Current returns the latest catalogue, or nil before there is one.
-func (t *Tracker) Current() *Catalogue { return t.current }
+// Current returns the catalogue of what is known, or nil before anything is. It
+// costs time in proportion to the number of servers after a change.
+func (t *Tracker) Current() *Catalogue {
+	if t.changed {
+		t.build()
+		t.changed = false
+	}
+	return t.current
+}
 
 // Version returns the store's revision up to which a source is known.
 func (t *Tracker) Version(s Source) Version { return t.versions[s] }
@@ -159,9 +170,7 @@
 	t.listed[a.Source] = t.listed[a.Source] || a.Whole
 	changed := t.apply(now, a)
 	changed = t.expire(now) || changed
-	if changed {
-		t.build()
-	}
+	t.changed = t.changed || changed
 	return changed
 }
 
@@ -176,11 +185,9 @@
 
 // Tick removes what has expired and reports whether the catalogue has changed.
 func (t *Tracker) Tick(now time.Time) bool {
-	if !t.expire(now) {
-		return false
-	}
-	t.build()
-	return true
+	expired := t.expire(now)
+	t.changed = t.changed || expired
+	return expired
 }
 
 // noteReturn starts the grace for lapsed records when the store is back.
@@ -354,6 +361,7 @@
 // lapse notes that the record of a server is no longer there.
 func (t *Tracker) lapse(now time.Time, held *tracked, version Version) {
 	held.lapsed = now
+	t.lapsed = true
 	t.noteAbout(ServerLapsed, held.server, version)
 }
 
@@ -391,8 +399,12 @@
 // the store has just returned.
 func (t *Tracker) expire(now time.Time) bool {
 	changed := false
+	if !t.lapsed || now.Before(t.graceUntil) {
+		return false
+	}
+	t.lapsed = false
 	for name, held := range t.servers {
-		if held.lapsed.IsZero() || now.Before(t.graceUntil) {
+		if held.lapsed.IsZero() {
 			continue
 		}
 		delete(t.servers, name)
@@ -416,7 +428,7 @@
 		Configuration: t.configuration,
 		routes:        make(map[netip.AddrPort]*Route),
 		gone:          make(map[Cookie]bool, len(t.gone)),
-		pools:         make(map[fleet.ServiceName][]*Server),
+		pools:         make(map[fleet.ServiceName]*Pool),
 		count:         len(t.servers),
 		evacuations:   t.listed[Evacuations],
 	}
@@ -434,7 +446,7 @@
 	c.servers = uniqueCookies(servers)
 	for _, server := range servers {
 		if server.Cookie != 0 && !server.Draining && !t.evacuated[server.DataCentre] {
-			c.pools[server.Service] = append(c.pools[server.Service], server)
+			c.add(server)
 		}
 	}
 	for _, record := range t.hosts {
--- a/catalogue/tracker_test.go
+++ b/catalogue/tracker_test.go
@@ -59,7 +59,7 @@
 	is.True(!tracker.Current().Ready()) // a data centre may be out
 	tracker.Take(start, evacuations(3))
 	is.True(tracker.Current().Ready())
-	is.Equal(len(tracker.Current().Pool("bench")), 1)
+	is.Equal(len(tracker.Current().Pool("bench").All), 1)
 }
 
 func TestOlderAnswerChangesNothing(t *testing.T) {
@@ -78,7 +78,7 @@
 	draining.Draining = true
 	tracker.Take(start, servers(2, false, record(draining)))
 	c := tracker.Current()
-	is.Equal(len(c.Pool("bench")), 0)
+	is.Equal(len(c.Pool("bench").All), 0)
 	is.Equal(c.Server(catalogue.CookieOf("i-01")).ID, fleet.ServerID("i-01"))
 }
 
@@ -88,12 +88,12 @@
 	tracker.Take(start, servers(1, true, record(server("i-01", 1))))
 	tracker.Take(start, servers(2, false, catalogue.Record{Name: "i-01", Changed: 2}))
 	c := tracker.Current()
-	is.Equal(len(c.Pool("bench")), 0)
+	is.Equal(len(c.Pool("bench").All), 0)
 	is.True(c.Server(catalogue.CookieOf("i-01")) != nil)
 	is.True(!c.IsGone(catalogue.CookieOf("i-01")))
 
 	tracker.Take(start, servers(3, false, record(server("i-01", 3))))
-	is.Equal(len(tracker.Current().Pool("bench")), 1)
+	is.Equal(len(tracker.Current().Pool("bench").All), 1)
 }
 
 func TestRemovedServerIsGone(t *testing.T) {
@@ -128,12 +128,12 @@
 				lapsed = servers(5, true)
 			}
 			tracker.Take(returned, lapsed)
-			is.Equal(len(tracker.Current().Pool("bench")), 1) // the store has just returned
+			is.Equal(len(tracker.Current().Pool("bench").All), 1) // the store has just returned
 			if test.back {
 				tracker.Take(returned.Add(2*time.Second), servers(6, false, record(server("i-01", 6))))
 			}
 			tracker.Tick(returned.Add(catalogue.DefaultReturnGrace))
-			is.Equal(len(tracker.Current().Pool("bench")) == 1, test.back)
+			is.Equal(len(tracker.Current().Pool("bench").All) == 1, test.back)
 			is.Equal(tracker.Current().IsGone(catalogue.CookieOf("i-01")), !test.back)
 		})
 	}
@@ -144,10 +144,10 @@
 	var tracker catalogue.Tracker
 	tracker.Take(start, servers(1, true, record(server("i-01", 1))))
 	tracker.Take(start, evacuations(2, catalogue.Record{Name: "a", Changed: 2}))
-	is.Equal(len(tracker.Current().Pool("bench")), 0)
+	is.Equal(len(tracker.Current().Pool("bench").All), 0)
 	is.True(tracker.Current().Server(catalogue.CookieOf("i-01")) != nil) // open flows go on
 	tracker.Take(start, catalogue.Answer{Source: catalogue.Evacuations, Version: 3, Records: []catalogue.Record{removed("a", 3)}})
-	is.Equal(len(tracker.Current().Pool("bench")), 1)
+	is.Equal(len(tracker.Current().Pool("bench").All), 1)
 }
 
 func TestOfServersWithOneCookieTheOlderKeepsIt(t *testing.T) {
@@ -158,7 +158,7 @@
 	tracker.Take(start, servers(2, true, record(server(second, 2)), record(server(first, 1))))
 	c := tracker.Current()
 	is.Equal(c.Server(catalogue.CookieOf(first)).ID, first)
-	is.Equal(len(c.Pool("bench")), 1) // no flow goes to the other one
+	is.Equal(len(c.Pool("bench").All), 1) // no flow goes to the other one
 }
 
 // collidingIDs finds two ids with the same cookie by the birthday paradox.
@@ -198,7 +198,7 @@
 	cold := server("i-01", 1)
 	cold.Cold = 2 * time.Second
 	tracker.Take(start, servers(1, true, record(cold)))
-	got := tracker.Current().Pool("bench")[0]
+	got := tracker.Current().Pool("bench").All[0]
 	is.True(got.IsCold(start))
 	is.True(!got.IsCold(start.Add(2 * time.Second)))
 }
--- a/entry/control.go
+++ b/entry/control.go
@@ -11,34 +11,50 @@
 // tickTime is how often the control loop looks for what has expired.
 const tickTime = 500 * time.Millisecond
 
+// A catalogue is built at most for buildShare of the time, and at least every
+// maxBuildPause while there are changes.
+const (
+	buildShare    = 20
+	maxBuildPause = 500 * time.Millisecond
+)
+
 // control is the one goroutine that owns what the host knows. It publishes a
 // snapshot for the others and feeds the hosts that have joined.
 type control struct {
 	host        *Host
 	tracker     catalogue.Tracker
 	subscribers map[*subscriber]bool
+	// pending says that there are changes that are not yet published.
+	pending bool
+	// nextBuild is when the next catalogue may be built.
+	nextBuild time.Time
 }
 
 func (c *control) run(ctx context.Context) error {
 	c.subscribers = make(map[*subscriber]bool)
 	tick := time.NewTicker(tickTime)
 	defer tick.Stop()
+	build := time.NewTimer(0)
+	defer build.Stop()
 	for {
-		changed := false
 		select {
 		case <-ctx.Done():
 			return nil
 		case answers := <-c.host.answers:
 			for _, a := range answers {
-				changed = c.take(a) || changed
+				c.pending = c.take(a) || c.pending
 			}
 		case s := <-c.host.joins:
 			c.join(s)
 			continue
 		case <-tick.C:
-			changed = c.tracker.Tick(c.host.network.Now())
+			c.pending = c.tracker.Tick(c.host.network.Now()) || c.pending
+		case <-build.C:
+		}
+		if rest := c.nextBuild.Sub(c.host.network.Now()); c.pending && rest > 0 {
+			build.Reset(rest)
 		}
-		c.publish(changed)
+		c.publish()
 	}
 }
 
@@ -78,24 +94,33 @@
 	}
 }
 
-// publish makes a snapshot, and acts on what has changed.
-func (c *control) publish(changed bool) {
+// publish makes a snapshot, with a new catalogue if there are changes and it is
+// time, and acts on what has changed.
+func (c *control) publish() {
 	h := c.host
-	next := &snapshot{catalogue: c.tracker.Current()}
+	before := h.snapshot.Load().catalogue
+	next := &snapshot{catalogue: before}
 	for source := range catalogue.Source(catalogue.SourceCount) {
 		next.versions[source] = c.tracker.Version(source)
 		next.confirmed[source] = c.tracker.Confirmed(source)
 	}
-	before := h.snapshot.Swap(next).catalogue
+	start := h.network.Now()
+	changed := c.pending && !start.Before(c.nextBuild)
+	if changed {
+		c.pending = false
+		next.catalogue = c.tracker.Current()
+		end := h.network.Now()
+		c.nextBuild = end.Add(min(buildShare*end.Sub(start), maxBuildPause))
+	}
+	h.snapshot.Store(next)
 	if !before.Ready() && next.catalogue.Ready() {
 		close(h.ready)
 		h.log.Line("ready", "catalogue", next.catalogue.Number, "servers", next.catalogue.Servers())
 	}
-	if !changed {
-		return
+	if changed {
+		c.logChanges(before.Ready())
+		h.endFlows(before, next.catalogue)
 	}
-	c.logChanges(before.Ready())
-	h.endFlows(before, next.catalogue)
 }
 
 // logChanges writes a line for each change of what the host believes. Servers
--- a/entry/feed.go
+++ b/entry/feed.go
@@ -28,7 +28,9 @@
 	feedDial = 400 * time.Millisecond
 	// blindTime is how long a host that knows nothing waits for the store before
 	// it asks its seeds.
-	blindTime = 300 * time.Millisecond
+	blindTime = 2 * time.Second
+	// blindPause is how soon it looks whether the store is lost.
+	blindPause = 300 * time.Millisecond
 	// maxFeedBytes bounds a message of a feed.
 	maxFeedBytes = 8 << 20
 	// feedQueue is how many answers wait for a slow subscriber.
@@ -162,7 +164,7 @@
 	h := f.host
 	f.chooser.Self = h.self()
 	started := h.network.Now()
-	pause := time.NewTimer(blindTime)
+	pause := time.NewTimer(blindPause)
 	defer pause.Stop()
 	for {
 		select {
@@ -180,7 +182,11 @@
 			h.log.Line("upstream_lost", "peer", to, "error", err)
 			h.metrics.upstreams.WithLabelValues("lost").Inc()
 		}
-		pause.Reset(feedPause)
+		if h.snapshot.Load().catalogue.Ready() {
+			pause.Reset(feedPause)
+		} else {
+			pause.Reset(blindPause)
+		}
 	}
 }
 
@@ -194,7 +200,7 @@
 		peer, ok := f.chooser.Choose(now, known.Hosts())
 		return peer.PeerAddress, ok
 	}
-	if now.Sub(started) < blindTime {
+	if now.Sub(started) < blindTime && !h.storeLost.Load() {
 		return netip.AddrPort{}, false
 	}
 	return f.chooser.Seed(now, h.current.Load().Peers.Seeds)
--- a/entry/host.go
+++ b/entry/host.go
@@ -43,6 +43,8 @@
 	forwarder forwarding.Forwarder
 	probes    chan *catalogue.Server
 	stopping  atomic.Bool
+	// storeLost says that the last call on the store for servers has failed.
+	storeLost atomic.Bool
 	// ready is closed at the first catalogue that suffices to forward.
 	ready   chan struct{}
 	answers chan []catalogue.Answer
--- a/entry/reader.go
+++ b/entry/reader.go
@@ -71,6 +71,9 @@
 	if len(answer.Records) > 0 {
 		waited = 0
 	}
+	if call.Source == catalogue.Servers {
+		r.host.storeLost.Store(err != nil)
+	}
 	r.host.metrics.countCall(call.Source, result, answered.Sub(asked)-waited)
 	answer.Asked = answered
 	if call.Whole {
--- a/forwarding/forwarder.go
+++ b/forwarding/forwarder.go
@@ -174,9 +174,9 @@
 // failed returns the servers that have not opened a flow. For a copy of an opening
 // packet that was sent through another host, these are the ones that this host
 // would have chosen.
-func (f *Forwarder) failed(now time.Time, pool []*catalogue.Server, hash uint64, p *Packet) placement.Failed {
+func (f *Forwarder) failed(now time.Time, pool *catalogue.Pool, hash uint64, p *Packet) placement.Failed {
 	failed := f.flows.Failed(now, p)
-	for failed.Count() < min(int(p.Ack), maxCopies) && len(pool) > 0 {
+	for failed.Count() < min(int(p.Ack), maxCopies) && len(pool.All) > 0 {
 		failed.Add(f.Chooser.Choose(now, pool, hash, failed).Cookie)
 	}
 	return failed
--- a/placement/chooser.go
+++ b/placement/chooser.go
@@ -70,17 +70,28 @@
 // Choose returns the server for a new flow, or nil if the pool is empty. Servers
 // on which the caller's last tries have failed come last. Hosts with the same
 // catalogue and the same suspicions choose alike.
-func (c *Chooser) Choose(now time.Time, pool []*catalogue.Server, flow uint64, tried Failed) *catalogue.Server {
+func (c *Chooser) Choose(now time.Time, pool *catalogue.Pool, flow uint64, tried Failed) *catalogue.Server {
+	if tried.Count() < localTries {
+		if server, against := c.best(now, pool.Places[c.DataCentre], flow, &tried); server != nil && against == 0 {
+			return server
+		}
+	}
+	server, _ := c.best(now, pool.All, flow, &tried)
+	return server
+}
+
+// best returns the best of some servers, and the reasons against it.
+func (c *Chooser) best(now time.Time, servers []*catalogue.Server, flow uint64, tried *Failed) (*catalogue.Server, int) {
 	var best *catalogue.Server
 	var bestAgainst int
 	var bestScore uint64
-	for _, server := range pool {
-		against, score := c.against(now, server, &tried), score(flow, server.Cookie)
+	for _, server := range servers {
+		against, score := c.against(now, server, tried), score(flow, server.Cookie)
 		if best == nil || against < bestAgainst || against == bestAgainst && score > bestScore {
 			best, bestAgainst, bestScore = server, against, score
 		}
 	}
-	return best
+	return best, bestAgainst
 }
 
 // against returns the reasons to pass over a server.
--- a/placement/chooser_test.go
+++ b/placement/chooser_test.go
@@ -24,6 +24,15 @@
 	return servers
 }
 
+// poolOf returns the pool of some servers.
+func poolOf(servers []*catalogue.Server) *catalogue.Pool {
+	p := &catalogue.Pool{All: servers, Places: make(map[fleet.DataCentreID][]*catalogue.Server)}
+	for _, server := range servers {
+		p.Places[server.DataCentre] = append(p.Places[server.DataCentre], server)
+	}
+	return p
+}
+
 // failed notes tries that have failed on servers.
 func failed(servers ...*catalogue.Server) placement.Failed {
 	var f placement.Failed
@@ -38,8 +47,8 @@
 	c := placement.Chooser{DataCentre: "a"}
 	servers := pool("a", "b", "a", "b")
 	for flow := range uint64(1000) {
-		is.Equal(c.Choose(start, servers, flow, placement.Failed{}).DataCentre, fleet.DataCentreID("a"))
-		is.Equal(c.Choose(start, servers, flow, failed(servers[0], servers[2])).DataCentre, fleet.DataCentreID("b"))
+		is.Equal(c.Choose(start, poolOf(servers), flow, placement.Failed{}).DataCentre, fleet.DataCentreID("a"))
+		is.Equal(c.Choose(start, poolOf(servers), flow, failed(servers[0], servers[2])).DataCentre, fleet.DataCentreID("b"))
 	}
 }
 
@@ -62,9 +71,9 @@
 			servers := pool("a", "b")
 			test.spoil(&c, servers[0])
 			for flow := range uint64(100) {
-				is.Equal(c.Choose(start, servers, flow, placement.Failed{}), servers[1]) // rather another data centre
+				is.Equal(c.Choose(start, poolOf(servers), flow, placement.Failed{}), servers[1]) // rather another data centre
 			}
-			is.Equal(c.Choose(start, servers[:1], 1, placement.Failed{}), servers[0]) // unless there is no other
+			is.Equal(c.Choose(start, poolOf(servers[:1]), 1, placement.Failed{}), servers[0]) // unless there is no other
 		})
 	}
 }
@@ -74,9 +83,9 @@
 	c := placement.Chooser{DataCentre: "a"}
 	servers := pool("a", "a", "a")
 	for flow := range uint64(1000) {
-		first := c.Choose(start, servers, flow, placement.Failed{})
-		is.True(c.Choose(start, servers, flow, failed(first)) != first)
-		is.True(c.Choose(start, servers, flow+1, failed(first)) != first) // from another port
+		first := c.Choose(start, poolOf(servers), flow, placement.Failed{})
+		is.True(c.Choose(start, poolOf(servers), flow, failed(first)) != first)
+		is.True(c.Choose(start, poolOf(servers), flow+1, failed(first)) != first) // from another port
 	}
 }
 
@@ -86,12 +95,12 @@
 	servers := pool("a", "a", "b", "a")
 	reversed := []*catalogue.Server{servers[3], servers[2], servers[1], servers[0]}
 	for flow := range uint64(1000) {
-		is.Equal(a.Choose(start, servers, flow, placement.Failed{}), b.Choose(start, reversed, flow, placement.Failed{}))
+		is.Equal(a.Choose(start, poolOf(servers), flow, placement.Failed{}), b.Choose(start, poolOf(reversed), flow, placement.Failed{}))
 	}
 }
 
 func TestEmptyPool(t *testing.T) {
 	is := is.New(t)
 	var c placement.Chooser
-	is.True(c.Choose(start, nil, 1, placement.Failed{}) == nil)
+	is.True(c.Choose(start, poolOf(nil), 1, placement.Failed{}) == nil)
 }
--- a/placement/loads_test.go
+++ b/placement/loads_test.go
@@ -28,7 +28,7 @@
 	local := servers[0]
 	now := start
 	choose := func() fleet.DataCentreID {
-		return c.Choose(now, servers, 7, placement.Failed{}).DataCentre
+		return c.Choose(now, poolOf(servers), 7, placement.Failed{}).DataCentre
 	}
 	answer(&c.Loads, &now, local, 25*time.Millisecond, 50)
 	is.Equal(choose(), fleet.DataCentreID("a"))
@@ -53,7 +53,7 @@
 			answer(&c.Loads, &now, server, 400*time.Millisecond, 1)
 		}
 	}
-	is.Equal(c.Choose(now, servers, 7, placement.Failed{}), servers[0])
+	is.Equal(c.Choose(now, poolOf(servers), 7, placement.Failed{}), servers[0])
 }
 
 func TestOneSlowAnswerIsNoLoad(t *testing.T) {
