Let the strongest host of a data centre read the store; give each page time

The whole list of 3,000 servers had the time of one call, so it failed and was begun again. The reader was chosen by a hash alone, also one with 0.061 of a core and 10 Mbit/s before 60 hosts.

Change: each page of a list has a timeout of its own. Hosts tell their strength, by the scarcer of processor and link, and the strongest reads. A failed probe that took much longer than it may is void.

--- a/entry/feed.go
+++ b/entry/feed.go
@@ -295,7 +295,12 @@
 }
 
 func (h *Host) self() fleet.Host {
-	return fleet.Host{ID: h.Settings.Host, DataCentre: h.Settings.DataCentre, PeerAddress: h.Settings.Listen.Peers}
+	return fleet.Host{
+		ID:          h.Settings.Host,
+		DataCentre:  h.Settings.DataCentre,
+		PeerAddress: h.Settings.Listen.Peers,
+		Strength:    h.Settings.Limits.strength(),
+	}
 }
 
 // feedPath is where hosts accept feeds.
--- a/entry/probe.go
+++ b/entry/probe.go
@@ -21,6 +21,9 @@
 	maxRefused = 2
 	// probeTime is how long a server has to accept one of them.
 	probeTime = 200 * time.Millisecond
+	// maxProbeTime is how long a failed probe may have taken. A host that was held
+	// up itself can't tell who has not answered.
+	maxProbeTime = probeTime + 3*probeGap
 	// probePause is the time between probes of a server that is unreachable.
 	probePause = time.Second
 )
@@ -40,10 +43,15 @@
 // probeServer probes a server until it accepts a connection or its record ends.
 func (h *Host) probeServer(ctx context.Context, server *catalogue.Server) {
 	for {
+		start := h.network.Now()
 		reachable := h.accepts(ctx, server)
 		if ctx.Err() != nil {
 			return
 		}
+		if took := h.network.Now().Sub(start); !reachable && took > maxProbeTime {
+			h.log.Line("probe_void", "server", server.ID, "took_ms", took.Milliseconds())
+			continue
+		}
 		h.mu.Lock()
 		flows := h.forwarder.Probed(server.Cookie, reachable)
 		h.mu.Unlock()
--- a/entry/reader.go
+++ b/entry/reader.go
@@ -59,8 +59,6 @@
 }
 
 func (r *storeReader) ask(ctx context.Context, call catalogue.Call) (catalogue.Answer, error) {
-	ctx, cancel := context.WithTimeout(ctx, call.Timeout)
-	defer cancel()
 	asked := r.host.network.Now()
 	answer, err := r.call(ctx, call)
 	answered := r.host.network.Now()
@@ -84,8 +82,10 @@
 
 func (r *storeReader) call(ctx context.Context, call catalogue.Call) (catalogue.Answer, error) {
 	if call.Whole {
-		return r.store.List(ctx, call.Source)
+		return r.store.List(ctx, call.Source, call.Timeout)
 	}
+	ctx, cancel := context.WithTimeout(ctx, call.Timeout)
+	defer cancel()
 	return r.store.Watch(ctx, call.Source, call.After, call.Wait)
 }
 
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -24,6 +24,7 @@
 	Peers      PeerSettings       `toml:"peers"`
 	Store      StoreSettings      `toml:"store"`
 	Bounds     Bounds             `toml:"bounds"`
+	Limits     Limits             `toml:"limits"`
 }
 
 // Listen holds the addresses of a host.
@@ -62,10 +63,33 @@
 	Stop time.Duration `toml:"stop"`
 }
 
+// Limits are what the host may use. Hosts with more of both read the store for
+// the others.
+type Limits struct {
+	// Cores is the part of the processor. Zero means that it is not told.
+	Cores float64 `toml:"cores"`
+	// LinkMegabits is the link's bandwidth in Mbit/s. Zero means that it is not told.
+	LinkMegabits float64 `toml:"link_megabits"`
+}
+
+// What a host needs of each for one step of strength.
+const (
+	coresPerStrength    = 0.1
+	megabitsPerStrength = 20
+)
+
+// strength compares hosts by the scarcer of the two.
+func (l Limits) strength() int {
+	return int(min(l.Cores/coresPerStrength, l.LinkMegabits/megabitsPerStrength))
+}
+
 // Limits of the bounds.
 const (
 	minBound = 500 * time.Millisecond
 	maxBound = 10 * time.Minute
+
+	maxCores    = 1024
+	maxMegabits = 1e6
 )
 
 // LoadSettings reads and checks a settings file. The error is
@@ -111,6 +135,8 @@
 	require("bounds.drain", declaration.RangeFault(s.Bounds.Drain, minBound, maxBound))
 	require("bounds.evacuation", declaration.RangeFault(s.Bounds.Evacuation, minBound, maxBound))
 	require("bounds.stop", declaration.RangeFault(s.Bounds.Stop, minBound, maxBound))
+	require("limits.cores", declaration.RangeFault(s.Limits.Cores, 0, maxCores))
+	require("limits.link_megabits", declaration.RangeFault(s.Limits.LinkMegabits, 0, maxMegabits))
 	problems.Sort()
 	return problems
 }
--- a/entry/settings_test.go
+++ b/entry/settings_test.go
@@ -53,3 +53,15 @@
 		})
 	}
 }
+
+func TestLimitsMayBeWholeNumbers(t *testing.T) {
+	good, err := os.ReadFile(goodFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, limits := range []string{"cores = 1\nlink_megabits = 1000", "cores = 0.192\nlink_megabits = 10.0"} {
+		is := is.New(t)
+		_, err := entry.ParseSettings("good.toml", []byte(string(good)+"\n[limits]\n"+limits+"\n"))
+		is.NoErr(err)
+	}
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -83,6 +83,8 @@
 	PeerAddress netip.AddrPort `cbor:"peer_address"`
 	// HandoffAddress is where peers send packets that this host should decide on.
 	HandoffAddress netip.AddrPort `cbor:"handoff_address"`
+	// Strength compares hosts by what their processor and link can carry.
+	Strength int `cbor:"strength,omitempty"`
 }
 
 // ServerPhase is the state of a backend server.
--- a/upstream/chooser.go
+++ b/upstream/chooser.go
@@ -71,10 +71,12 @@
 	return local
 }
 
-// ranked orders peers by a hash of their ids, which is the same on all hosts.
+// ranked orders peers, the strongest first, and equal ones by a hash of their ids.
+// The order is the same on all hosts.
 func ranked(peers []fleet.Host) []fleet.Host {
 	slices.SortFunc(peers, func(a, b fleet.Host) int {
 		return cmp.Or(
+			cmp.Compare(b.Strength, a.Strength),
 			cmp.Compare(xxhash.Sum64String(string(a.ID)), xxhash.Sum64String(string(b.ID))),
 			cmp.Compare(a.ID, b.ID),
 		)
--- a/upstream/chooser_test.go
+++ b/upstream/chooser_test.go
@@ -43,6 +43,21 @@
 	is.Equal(readers, map[fleet.DataCentreID]int{"a": 1, "bb": 1})
 }
 
+func TestStrongestHostReadsTheStore(t *testing.T) {
+	is := is.New(t)
+	all := peers("a", 16)
+	all[7].Strength = 4
+	strongest := all[7].ID
+	for _, self := range all {
+		c := upstream.Chooser{Self: self}
+		peer, ok := c.Choose(start, all)
+		is.Equal(ok, self.ID != strongest)
+		if ok {
+			is.Equal(peer.ID, strongest)
+		}
+	}
+}
+
 func TestFailedPeerIsPassedOver(t *testing.T) {
 	is := is.New(t)
 	all := peers("a", 5)
