--- a/command/site.go
+++ b/command/site.go
@@ -61,9 +61,7 @@
 	if !ok || f.NArg() > 0 {
 		return c.fail(fmt.Errorf("no trouble %q; see help site: %w", c.trouble, errInput))
 	}
-	site := platformstandin.Site{
-		Zones: []string{"a", "b", "c"}, HostsPerZone: 2, TargetsPerZone: 4, ClientsPerZone: 12, Loss: 0.001, Seed: c.seed,
-	}
+	site := newSite(c.seed)
 	if c.logs {
 		site.Logger = hclog.New(&hclog.LoggerOptions{Output: os.Stderr})
 	}
@@ -76,3 +74,10 @@
 	}
 	return subcommands.ExitSuccess
 }
+
+// newSite returns a small site of three data centres.
+func newSite(seed uint64) *platformstandin.Site {
+	return &platformstandin.Site{
+		Zones: []string{"a", "b", "c"}, HostsPerZone: 2, TargetsPerZone: 4, ClientsPerZone: 12, Loss: 0.001, Seed: seed,
+	}
+}
--- a/command/try.go
+++ b/command/try.go
@@ -16,6 +16,7 @@
 	"github.com/hashicorp/go-hclog"
 	"golang.org/x/term"
 
+	"github.com/rattanthread/rattanthread/platformstandin"
 	"github.com/rattanthread/rattanthread/trial"
 )
 
@@ -48,7 +49,8 @@
 
   While flows and requests run, an entry host is stopped and started, another
   one is killed, two backend servers are drained, and a data centre is taken out
-  and brought back. The report says what callers and backend servers saw.
+  and brought back. The report says what callers and backend servers saw. Then
+  entry hosts of the users' platform are played for a short time, in memory.
 
   The exit status is 0 when all that must always hold held, 1 when something
   did not, and 2 when the trial could not be run.
@@ -83,12 +85,27 @@
 	if !c.hold {
 		c.print(out, errs, report)
 	}
-	if !report.Passed {
+	if !report.Passed || !c.playSite(out) {
 		return subcommands.ExitFailure
 	}
 	return subcommands.ExitSuccess
 }
 
+// siteLength is how long the users' platform is played.
+const siteLength = 8 * time.Second
+
+// playSite plays entry hosts on the users' platform, in memory, while the servers of
+// a data centre crash. It reports whether all rules held.
+func (c *Try) playSite(out io.Writer) bool {
+	if c.Run != nil || c.json {
+		return true
+	}
+	trouble, _ := platformstandin.FindTrouble("crash_refusing")
+	report := newSite(c.seed).Run(siteLength, trouble)
+	_, _ = fmt.Fprintf(out, "\nusers' platform, in memory: %s\n\n", trouble.About)
+	return report.WriteTable(out) == nil && len(report.Broken) == 0
+}
+
 func (c *Try) run(ctx context.Context, t *trial.Trial) (trial.Report, error) {
 	if c.Run != nil {
 		return c.Run(ctx, t)
