--- a/command/check.go
+++ b/command/check.go
@@ -9,12 +9,15 @@
 	"github.com/google/subcommands"
 
 	"github.com/rattanthread/rattanthread/config"
+	"github.com/rattanthread/rattanthread/entry"
 )
 
 // Check is the command that checks files offline.
 type Check struct {
 	Environment
 	JSON bool
+
+	settings, deploy string
 }
 
 // Name returns the name of the command.
@@ -25,22 +28,31 @@
 
 // Usage describes the command.
 func (*Check) Usage() string {
-	return `check [-json] FILE|DIR...:
+	return `check [-json] FILE|DIR...
+check -settings FILE, check -deploy FILE:
   Check all objects of the given files, and of the *.toml files below the given
   directories, as one set. Prints every problem with its file, line, object and
   reason. Needs no platform and changes nothing.
 
+  With -settings, check the settings file of an entry host on the users' platform
+  instead, and with -deploy the file that builds and places the system.
+
   Example: rattanthread check examples/configuration
 `
 }
 
 // SetFlags defines the flags of the command.
 func (c *Check) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.settings, "settings", "", "check this settings file of an entry host")
+	f.StringVar(&c.deploy, "deploy", "", "check this deploy file")
 	f.BoolVar(&c.JSON, "json", false, "print the problems as JSON, for programs")
 }
 
 // Execute runs the command.
 func (c *Check) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.settings != "" || c.deploy != "" {
+		return c.checkFiles(f)
+	}
 	set, err := loadArguments(f)
 	if c.JSON && (err == nil || isProblems(err)) {
 		return c.printJSON(err)
@@ -53,6 +65,27 @@
 	return subcommands.ExitSuccess
 }
 
+// checkFiles checks a settings file, a deploy file, or both.
+func (c *Check) checkFiles(f *flag.FlagSet) subcommands.ExitStatus {
+	if f.NArg() > 0 {
+		return c.fail(badInput("want no files beside -settings and -deploy"))
+	}
+	if c.settings != "" {
+		if _, err := entry.LoadSettings(c.settings); err != nil {
+			return c.fail(inputError{err.Error()})
+		}
+		c.printf("%s: no problems\n", c.settings)
+	}
+	if c.deploy == "" {
+		return subcommands.ExitSuccess
+	}
+	if err := entry.CheckDeployment(c.deploy); err != nil {
+		return c.fail(inputError{err.Error()})
+	}
+	c.printf("%s: no problems\n", c.deploy)
+	return subcommands.ExitSuccess
+}
+
 func (c *Check) printJSON(err error) subcommands.ExitStatus {
 	problems, bad := errors.Into[config.Problems](err)
 	if !bad {
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -10,6 +10,7 @@
 
 	"github.com/rattanthread/rattanthread/declaration"
 	"github.com/rattanthread/rattanthread/fleet"
+	"github.com/rattanthread/rattanthread/platform"
 )
 
 // SettingsVariable names the environment variable that holds the path of the
@@ -102,6 +103,16 @@
 	return ParseSettings(path, data)
 }
 
+// CheckDeployment checks the file that builds and places the system. The error is
+// declaration.Problems if the file could be read.
+func CheckDeployment(path string) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return errors.Wrap(err, "load the deploy file")
+	}
+	return platform.CheckDeployment(path, data)
+}
+
 // ParseSettings reads and checks settings that are in memory; name stands for
 // the file in errors.
 func ParseSettings(name string, data []byte) (Settings, error) {
