Record and replay entry hosts of the users' platform

A trace holds the store's answers, packets and probes of one host with what it decided; replay gives them to new decisions and names the first difference.

--- a/command/replay.go
+++ b/command/replay.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"os"
 
 	"github.com/go-faster/errors"
 	"github.com/google/subcommands"
@@ -15,7 +16,7 @@
 type Replay struct {
 	Environment
 
-	state bool
+	state, entry bool
 }
 
 // Name returns the word that calls the command.
@@ -30,6 +31,9 @@
   Give the events of each trace to a new control state and compare what it
   decides with what the trace states. docs/TRACES.md describes the format.
 
+  With -entry, the traces are of entry hosts on the users' platform, as "site
+  -record" writes them.
+
   With -state, print the traces with the outcomes of now instead, so that a
   recorded trace can be reviewed and kept.
 
@@ -41,6 +45,7 @@
 
 // SetFlags defines the command's flags.
 func (c *Replay) SetFlags(f *flag.FlagSet) {
+	f.BoolVar(&c.entry, "entry", false, "the traces are of entry hosts on the users' platform")
 	f.BoolVar(&c.state, "state", false, "print the traces with the outcomes of now")
 }
 
@@ -59,6 +64,9 @@
 }
 
 func (c *Replay) replay(path string) error {
+	if c.entry {
+		return c.replayEntry(path)
+	}
 	trace, err := replay.Load(path)
 	if err != nil {
 		return unreadable(err)
@@ -77,6 +85,21 @@
 	return nil
 }
 
+// replayEntry runs a trace of an entry host on the users' platform.
+func (c *Replay) replayEntry(path string) error {
+	file, err := os.Open(path)
+	if err != nil {
+		return unreadable(err)
+	}
+	defer func() { _ = file.Close() }()
+	events, err := replay.RunEntry(path, file)
+	if err != nil {
+		return err
+	}
+	c.printf("%s: %d events as stated\n", path, events)
+	return nil
+}
+
 // unreadable marks the faults of a trace file, but not a different outcome, as
 // bad input.
 func unreadable(err error) error {
--- a/command/site.go
+++ b/command/site.go
@@ -7,10 +7,13 @@
 	"os"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/google/subcommands"
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/rattanthread/rattanthread/fleet"
 	"github.com/rattanthread/rattanthread/platformstandin"
+	"github.com/rattanthread/rattanthread/replay"
 )
 
 // Site plays a trouble on a site in memory.
@@ -21,6 +24,7 @@
 	seed    uint64
 	length  time.Duration
 	logs    bool
+	record  string
 }
 
 // Name returns the word that calls the command.
@@ -33,7 +37,7 @@
 
 // Usage explains the command.
 func (*Site) Usage() string {
-	usage := `site [-trouble NAME] [-seed N] [-length TIME] [-logs]:
+	usage := `site [-trouble NAME] [-seed N] [-length TIME] [-logs] [-record FILE]:
   Run entry hosts between stand-ins for the users' platform, in one process, and
   print what callers and backend servers saw: worth, broken rules, latency.
 
@@ -52,6 +56,7 @@
 	f.StringVar(&c.trouble, "trouble", "none", "what happens")
 	f.Uint64Var(&c.seed, "seed", 1, "the seed of all random choices")
 	f.DurationVar(&c.length, "length", 18*time.Second, "how long callers send")
+	f.StringVar(&c.record, "record", "", "write the trace of the first host to this new file")
 	f.BoolVar(&c.logs, "logs", false, "write the logs of the hosts to standard error")
 }
 
@@ -65,7 +70,10 @@
 	if c.logs {
 		site.Logger = hclog.New(&hclog.LoggerOptions{Output: os.Stderr})
 	}
-	report := site.Run(c.length, trouble)
+	report, err := c.run(site, trouble)
+	if err != nil {
+		return c.fail(err)
+	}
 	if err := report.WriteTable(c.out()); err != nil {
 		return c.fail(err)
 	}
@@ -75,6 +83,21 @@
 	return subcommands.ExitSuccess
 }
 
+// run plays the site, and records its first host if that was asked for.
+func (c *Site) run(site *platformstandin.Site, trouble platformstandin.Trouble) (*platformstandin.Report, error) {
+	if c.record == "" {
+		return site.Run(c.length, trouble), nil
+	}
+	file, err := os.OpenFile(c.record, os.O_WRONLY|os.O_CREATE|os.O_EXCL, 0o644)
+	if err != nil {
+		return nil, err
+	}
+	recorder := replay.EntryRecorder{Out: file, DataCentre: fleet.DataCentreID(site.Zones[0])}
+	site.Record = recorder.Record
+	report := site.Run(c.length, trouble)
+	return report, errors.Join(recorder.Err(), file.Close())
+}
+
 // newSite returns a small site of three data centres.
 func newSite(seed uint64) *platformstandin.Site {
 	return &platformstandin.Site{
--- a/entry/control.go
+++ b/entry/control.go
@@ -48,7 +48,10 @@
 			c.join(s)
 			continue
 		case <-tick.C:
-			c.pending = c.tracker.Tick(c.host.network.Now()) || c.pending
+			if c.tracker.Tick(c.host.network.Now()) {
+				c.pending = true
+				c.host.record(Event{Ticked: true})
+			}
 		case <-build.C:
 		}
 		if rest := c.nextBuild.Sub(c.host.network.Now()); c.pending && rest > 0 {
@@ -61,6 +64,7 @@
 // take takes in an answer and passes its changes on.
 func (c *control) take(a catalogue.Answer) bool {
 	newer := a.Version > c.tracker.Version(a.Source)
+	c.host.record(Event{Answer: &a})
 	changed := c.tracker.Take(c.host.network.Now(), a)
 	if newer {
 		for s := range c.subscribers {
@@ -112,7 +116,12 @@
 		end := h.network.Now()
 		c.nextBuild = end.Add(min(buildShare*end.Sub(start), maxBuildPause))
 	}
+	h.mu.Lock()
 	h.snapshot.Store(next)
+	if changed {
+		h.record(Event{Published: true})
+	}
+	h.mu.Unlock()
 	if !before.Ready() && next.catalogue.Ready() {
 		close(h.ready)
 		h.log.Line("ready", "catalogue", next.catalogue.Number, "servers", next.catalogue.Servers())
@@ -152,6 +161,7 @@
 		}
 		h.mu.Lock()
 		flows := h.forwarder.Ended(cookie)
+		h.record(Event{Ended: cookie})
 		h.mu.Unlock()
 		h.resetFlows(flows, server.ID, forwarding.ServerGone)
 	}
--- a/entry/host.go
+++ b/entry/host.go
@@ -27,6 +27,8 @@
 	// Reload sends settings that have changed; nil means that none do. What can't
 	// change while the host runs is left as it is.
 	Reload <-chan Settings
+	// Record takes each event and what was decided, if it is set. It must not block.
+	Record func(Event)
 	// Network replaces sockets and clock; nil means the machine's own.
 	Network *Network
 
--- a/entry/packets.go
+++ b/entry/packets.go
@@ -49,10 +49,13 @@
 }
 
 func (h *Host) decide(p forwarding.Packet) forwarding.Decision {
+	h.mu.Lock()
 	known, now := h.snapshot.Load(), h.network.Now()
 	confirmed := known.confirmed[catalogue.Configurations]
-	h.mu.Lock()
 	d := h.forwarder.Decide(now, known.catalogue, confirmed, p)
+	if h.Record != nil {
+		h.Record(Event{At: now, Packet: &PacketEvent{Packet: p, Confirmed: confirmed, Decision: d}})
+	}
 	h.mu.Unlock()
 	h.metrics.countDecision(d)
 	h.packets++
--- a/entry/probe.go
+++ b/entry/probe.go
@@ -54,6 +54,7 @@
 		}
 		h.mu.Lock()
 		flows := h.forwarder.Probed(server.Cookie, reachable)
+		h.record(Event{Probe: &ProbeEvent{Server: server.Cookie, Reachable: reachable, Flows: len(flows)}})
 		h.mu.Unlock()
 		h.countProbe(server, reachable, len(flows))
 		h.resetFlows(flows, server.ID, forwarding.ServerUnreachable)
--- a/platformstandin/host.go
+++ b/platformstandin/host.go
@@ -75,6 +75,9 @@
 		logger = hclog.NewNullLogger()
 	}
 	p.host = &entry.Host{Settings: s.settings(node), Logger: logger, Network: p.network()}
+	if node.Index == 0 {
+		p.host.Record = s.Record
+	}
 	s.locked(func() { s.processAt[node.Peers] = p })
 	s.processes.Go(func() { _ = p.host.Run(ctx) })
 	return &Run{Deliver: p.deliver, Ready: p.host.Ready, Stop: stop, Kill: p.kill, Dead: p.dead}
--- a/platformstandin/site.go
+++ b/platformstandin/site.go
@@ -13,6 +13,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/rattanthread/rattanthread/entry"
 	"github.com/rattanthread/rattanthread/fleet"
 	"github.com/rattanthread/rattanthread/platform"
 )
@@ -45,6 +46,8 @@
 	Address func(number int) netip.AddrPort
 	// ClientAddress returns that of the client of a number; nil means one in memory.
 	ClientAddress func(zone, number int) netip.Addr
+	// Record takes the events of the first host, if it is set.
+	Record func(entry.Event)
 	// Logger gets the logs of the hosts; nil drops them.
 	Logger hclog.Logger
 
--- /dev/null
+++ b/replay/entryhost_test.go
@@ -0,0 +1,50 @@
+package replay_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/rattanthread/rattanthread/replay"
+)
+
+func TestEntryTracesAreAsStated(t *testing.T) {
+	is := is.New(t)
+	paths, err := filepath.Glob("testdata/entry/*.jsonl")
+	is.NoErr(err)
+	is.True(len(paths) >= 3)
+	for _, path := range paths {
+		t.Run(filepath.Base(path), func(t *testing.T) {
+			is := is.New(t)
+			file, err := os.Open(path)
+			is.NoErr(err)
+			defer func() { _ = file.Close() }()
+			events, err := replay.RunEntry(path, file)
+			is.NoErr(err)
+			is.True(events > 500)
+		})
+	}
+}
+
+func TestDifferentOutcomeOfEntryTraceIsNamed(t *testing.T) {
+	is := is.New(t)
+	data, err := os.ReadFile("testdata/entry/crash_dark.jsonl")
+	is.NoErr(err)
+	changed := strings.Replace(string(data), "forward placed ", "reset no_server ", 1)
+	line, err := replay.RunEntry("x.jsonl", strings.NewReader(changed))
+	is.True(err != nil)
+	is.True(strings.Contains(err.Error(), "stated \"reset no_server"))
+	is.True(line > 1)
+}
+
+func TestMalformedEntryTraces(t *testing.T) {
+	for _, text := range []string{"{", `{"at":"0s","unknown":1}`, `{"at":"0s","answer":{"source":7,"nonsense":1}}`} {
+		is := is.New(t)
+		_, err := replay.RunEntry("x.jsonl", strings.NewReader(text))
+		is.True(err != nil)
+		is.True(strings.HasPrefix(err.Error(), "x.jsonl:1"))
+	}
+}
