--- a/forwarding/forwarder_test.go
+++ b/forwarding/forwarder_test.go
@@ -244,3 +244,29 @@
 	is.True(first.Server != second.Server)
 	is.Equal(second.Reason, forwarding.PlacedAgain)
 }
+
+// TestOneTryIsSpentOnADataCentreThatRefuses is the load of callers whose flows are
+// cut as all servers of their data centre restart: two tries are left to each.
+func TestOneTryIsSpentOnADataCentreThatRefuses(t *testing.T) {
+	is := is.New(t)
+	var w world
+	var servers []catalogue.Server
+	for _, id := range []fleet.ServerID{"i-01", "i-02", "i-03", "i-04", "i-05", "i-06"} {
+		s := server(id, "bench")
+		if id > "i-04" {
+			s.DataCentre = "b"
+		}
+		servers = append(servers, s)
+	}
+	known := learn(w.configuration("bench"), w.servers(servers...))
+	for n := range 100 {
+		f := newForwarder()
+		p := opening()
+		p.Source = netip.AddrPortFrom(caller.Addr(), uint16(1000+10*n))
+		first := f.Decide(start, known, start, p)
+		p.Source = netip.AddrPortFrom(caller.Addr(), uint16(1001+10*n))
+		second := f.Decide(start.Add(5*time.Millisecond), known, start, p)
+		is.Equal(first.Server.DataCentre, fleet.DataCentreID("a"))
+		is.Equal(second.Server.DataCentre, fleet.DataCentreID("b"))
+	}
+}
--- a/placement/chooser.go
+++ b/placement/chooser.go
@@ -41,9 +41,10 @@
 	return f.count > 0 && slices.Contains(f.servers[:min(f.count, MaxFailed)], server)
 }
 
-// localTries is how many tries stay in the own data centre. If they all fail, the
-// data centre as a whole is in trouble.
-const localTries = 2
+// local reports whether the next try should stay in the own data centre. Tries
+// alternate: if one fails there, the data centre as a whole may be in trouble, and
+// if one fails elsewhere, the way there may be.
+func (f *Failed) local() bool { return f.count%2 == 0 }
 
 // Chooser chooses servers for new flows. It belongs to one goroutine.
 type Chooser struct {
@@ -71,7 +72,7 @@
 // on which the caller's last tries have failed come last. Hosts with the same
 // catalogue and the same suspicions choose alike.
 func (c *Chooser) Choose(now time.Time, pool *catalogue.Pool, flow uint64, tried Failed) *catalogue.Server {
-	if tried.Count() < localTries {
+	if tried.local() {
 		if server, against := c.best(now, pool.Places[c.DataCentre], flow, &tried); server != nil && against == 0 {
 			return server
 		}
@@ -98,7 +99,7 @@
 func (c *Chooser) against(now time.Time, server *catalogue.Server, tried *Failed) int {
 	reasons := 0
 	local := server.DataCentre == c.DataCentre
-	if local != (tried.Count() < localTries) {
+	if local != tried.local() {
 		reasons |= remote
 	}
 	if c.Loads.Busy(now, server.Cookie) {
