Probe the servers of a data centre when three have ended together

Cause: of 50 servers that restart at once each host found each one by a caller's failed try. Change: when three servers of a data centre have become unreachable within a second, the others are probed before callers meet them; their flows are reset at once.

--- a/entry/packets.go
+++ b/entry/packets.go
@@ -107,10 +107,7 @@
 		h.log.Line("load_changed", "server", d.Server.ID, "busy", d.Busy)
 	}
 	if d.Probe != nil {
-		select {
-		case h.probes <- d.Probe:
-		default:
-		}
+		h.askProbes([]*catalogue.Server{d.Probe})
 	}
 }
 
--- a/entry/probe.go
+++ b/entry/probe.go
@@ -13,7 +13,7 @@
 
 const (
 	// maxProbes bounds the servers that wait to be probed.
-	maxProbes = 64
+	maxProbes = 1024
 	// probeAttempts is how many connections are tried, probeGap apart.
 	probeAttempts = 3
 	probeGap      = 50 * time.Millisecond
@@ -53,10 +53,11 @@
 			continue
 		}
 		h.mu.Lock()
-		flows := h.forwarder.Probed(server.Cookie, reachable)
+		flows, also := h.forwarder.Probed(h.network.Now(), h.snapshot.Load().catalogue, server.Cookie, reachable)
 		h.record(Event{Probe: &ProbeEvent{Server: server.Cookie, Reachable: reachable, Flows: len(flows)}})
 		h.mu.Unlock()
 		h.countProbe(server, reachable, len(flows))
+		h.askProbes(also)
 		h.resetFlows(flows, server.ID, forwarding.ServerUnreachable)
 		if reachable {
 			return
@@ -75,6 +76,19 @@
 	}
 }
 
+// askProbes asks for probes. Those for which there is no room are left out.
+func (h *Host) askProbes(servers []*catalogue.Server) {
+	for _, server := range servers {
+		select {
+		case h.probes <- server:
+		default:
+			h.mu.Lock()
+			h.forwarder.Chooser.Reach.Forget(server.Cookie)
+			h.mu.Unlock()
+		}
+	}
+}
+
 func (h *Host) countProbe(server *catalogue.Server, reachable bool, flows int) {
 	result := "accepted"
 	if !reachable {
--- a/forwarding/forwarder.go
+++ b/forwarding/forwarder.go
@@ -230,13 +230,24 @@
 	}
 }
 
-// Probed takes in whether a server accepts connections. It returns a packet of
-// each flow to reset, if the server has turned out not to.
-func (f *Forwarder) Probed(server catalogue.Cookie, reachable bool) []Packet {
-	if !f.Chooser.Reach.Probed(server, reachable) {
-		return nil
+// Probed takes in whether a server accepts connections. If it has turned out not
+// to, it returns a packet of each flow to reset, and the servers that may have
+// ended with it and should be probed now.
+func (f *Forwarder) Probed(now time.Time, c *catalogue.Catalogue, cookie catalogue.Cookie, reachable bool) ([]Packet, []*catalogue.Server) {
+	if !f.Chooser.Reach.Probed(cookie, reachable) {
+		return nil, nil
 	}
-	return f.flows.Ended(server)
+	server := c.Server(cookie)
+	if server == nil || !f.Chooser.Outages.Ended(now, server.DataCentre) {
+		return f.flows.Ended(cookie), nil
+	}
+	var also []*catalogue.Server
+	for _, other := range c.Pool(server.Service).Places[server.DataCentre] {
+		if f.Chooser.Reach.Doubt(other.Cookie) {
+			also = append(also, other)
+		}
+	}
+	return f.flows.Ended(cookie), also
 }
 
 // Ended takes in that a server has ended. It returns a packet of each flow to
--- a/forwarding/forwarder_test.go
+++ b/forwarding/forwarder_test.go
@@ -187,7 +187,8 @@
 	is.Equal(repeated.Action, forwarding.Forward) // doubt alone resets nothing
 	is.Equal(repeated.Probe, placed.Server)
 
-	is.Equal(len(f.Probed(placed.Server.Cookie, false)), 1)
+	reset, _ := f.Probed(start, known, placed.Server.Cookie, false)
+	is.Equal(len(reset), 1)
 	is.Equal(f.Decide(start.Add(time.Second), known, start, p).Reason, forwarding.ServerUnreachable)
 	is.True(f.Decide(start.Add(time.Second), known, start, opening()).Server != placed.Server)
 }
@@ -202,7 +203,8 @@
 	for i := range 5 {
 		at := start.Add(time.Duration(i) * 200 * time.Millisecond)
 		is.Equal(f.Decide(at, known, start, p).Action, forwarding.Forward) // slow, but alive
-		is.Equal(len(f.Probed(placed.Server.Cookie, true)), 0)
+		reset, _ := f.Probed(at, known, placed.Server.Cookie, true)
+		is.Equal(len(reset), 0)
 	}
 }
 
@@ -270,3 +272,22 @@
 		is.Equal(second.Server.DataCentre, fleet.DataCentreID("b"))
 	}
 }
+
+// TestServersThatEndTogetherAreFoundTogether is the load of a data centre whose
+// servers all crash: after three the others are probed before callers meet them.
+func TestServersThatEndTogetherAreFoundTogether(t *testing.T) {
+	is := is.New(t)
+	var w world
+	var servers []catalogue.Server
+	for _, id := range []fleet.ServerID{"i-01", "i-02", "i-03", "i-04", "i-05", "i-06"} {
+		servers = append(servers, server(id, "bench"))
+	}
+	known := learn(w.configuration("bench"), w.servers(servers...))
+	f := newForwarder()
+	probed := 0
+	for _, id := range []fleet.ServerID{"i-01", "i-02", "i-03"} {
+		_, also := f.Probed(start, known, catalogue.CookieOf(id), false)
+		probed += len(also)
+	}
+	is.Equal(probed, 3)
+}
--- a/placement/suspects_test.go
+++ b/placement/suspects_test.go
@@ -51,3 +51,18 @@
 	is.True(!r.Unreachable(server))
 	is.True(r.Doubt(server))
 }
+
+func TestOutage(t *testing.T) {
+	is := is.New(t)
+	var o placement.Outages
+	is.True(!o.Ended(start, "a"))
+	is.True(!o.Ended(start, "b"))
+	is.True(!o.Ended(start.Add(100*time.Millisecond), "a"))
+	is.True(o.Ended(start.Add(200*time.Millisecond), "a"))  // the third within a second
+	is.True(!o.Ended(start.Add(300*time.Millisecond), "a")) // told already
+
+	var slow placement.Outages
+	for i := range 10 {
+		is.True(!slow.Ended(start.Add(time.Duration(i)*600*time.Millisecond), "a")) // single crashes
+	}
+}
--- a/replay/entryhost.go
+++ b/replay/entryhost.go
@@ -199,7 +199,8 @@
 			Seq: p.Seq, Ack: p.Ack, Length: p.Length,
 		})), nil
 	case e.Probed != 0:
-		return flowsOutcome(len(r.forwarder.Probed(e.Probed, e.Reachable))), nil
+		flows, _ := r.forwarder.Probed(r.at(e.At), r.known, e.Probed, e.Reachable)
+		return flowsOutcome(len(flows)), nil
 	case e.Ended != 0:
 		r.forwarder.Ended(e.Ended)
 	}
