Stand-in: A target takes each request of a flow once

A paused host sent a copy of a request on seconds later, after the flow's next one; the stand-in's target knew only the last request and ran the old one again, where the protocol's byte stream tells old data by its sequence number. Ruled out: hosts sending a request to a second server. Change: the target goes by sequence numbers; a test with hosts that deliver late copies fails without it.

--- a/platformstandin/checks_test.go
+++ b/platformstandin/checks_test.go
@@ -76,6 +76,47 @@
 	return nil
 }
 
+// TestOldCopiesRunNothing lets a host deliver each packet a second time, 1.5 s
+// late, as one does that was paused.
+func TestOldCopiesRunNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		report := playRogue(t, "none", func(r *rogue, p forwarding.Packet, datagram []byte, servers []*catalogue.Server) {
+			server := byCookie(p, servers)
+			if server == nil {
+				return
+			}
+			r.send(append([]byte(nil), datagram...), server)
+			if p.Kind == forwarding.Segment {
+				time.AfterFunc(1500*time.Millisecond, func() { r.send(datagram, server) })
+			}
+		})
+		is.Equal(len(report.Broken), 0)
+		is.True(report.Served() > 0.9)
+	})
+}
+
+// playRogue plays a small site with hosts that act on their own.
+func playRogue(t *testing.T, name string, act func(*rogue, forwarding.Packet, []byte, []*catalogue.Server)) *platformstandin.Report {
+	t.Helper()
+	trouble, ok := platformstandin.FindTrouble(name)
+	if !ok {
+		t.Fatalf("no trouble %s", name)
+	}
+	site := &platformstandin.Site{Zones: []string{"a", "b"}, HostsPerZone: 1, TargetsPerZone: 2, ClientsPerZone: 4, Seed: 1}
+	site.Launch = func(node *platformstandin.Node) *platformstandin.Run {
+		r := &rogue{site: site, node: node, act: act, store: platform.Store{
+			Address: func() string { return "store" },
+			HTTP:    &http.Client{Transport: site.Store.Transport(node.Name)},
+		}}
+		return &platformstandin.Run{
+			Deliver: func(packet []byte) { r.deliver(t, packet) },
+			Ready:   func() bool { return true }, Dead: func() bool { return false }, Stop: func() {}, Kill: func() {},
+		}
+	}
+	return site.Run(12*time.Second, trouble)
+}
+
 // TestChecksCanFail runs hosts that break a rule and demands that it is noticed.
 func TestChecksCanFail(t *testing.T) {
 	tests := []struct {
@@ -150,20 +191,7 @@
 		t.Run(test.rule, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				trouble, ok := platformstandin.FindTrouble(test.trouble)
-				is.True(ok)
-				site := &platformstandin.Site{Zones: []string{"a", "b"}, HostsPerZone: 1, TargetsPerZone: 2, ClientsPerZone: 4, Seed: 1}
-				site.Launch = func(node *platformstandin.Node) *platformstandin.Run {
-					r := &rogue{site: site, node: node, act: test.act, store: platform.Store{
-						Address: func() string { return "store" },
-						HTTP:    &http.Client{Transport: site.Store.Transport(node.Name)},
-					}}
-					return &platformstandin.Run{
-						Deliver: func(packet []byte) { r.deliver(t, packet) },
-						Ready:   func() bool { return true }, Dead: func() bool { return false }, Stop: func() {}, Kill: func() {},
-					}
-				}
-				report := site.Run(12*time.Second, trouble)
+				report := playRogue(t, test.trouble, test.act)
 				is.True(strings.Contains(strings.Join(report.Broken, "\n"), test.rule)) // the rule is noticed as broken
 			})
 		})
--- a/platformstandin/target.go
+++ b/platformstandin/target.go
@@ -46,7 +46,9 @@
 }
 
 type targetFlow struct {
-	open    bool
+	open bool
+	// next is the sequence number of the next request. What is older was sent again.
+	next    uint32
 	seq     uint32
 	echo    uint32
 	request uint64
@@ -82,7 +84,7 @@
 	s.opened(t, p)
 	flow := t.flows[p.flow]
 	if flow == nil {
-		flow = &targetFlow{seq: s.random.Uint32()}
+		flow = &targetFlow{seq: s.random.Uint32(), next: p.seq + 1}
 		t.flows[p.flow] = flow
 	}
 	flow.echo = p.echo
@@ -100,12 +102,13 @@
 	if p.request == 0 {
 		return
 	}
-	if flow.request == p.request {
-		if flow.done {
+	if p.seq != flow.next {
+		if flow.request == p.request && flow.done {
 			t.respond(s, p.flow, flow, false)
 		}
 		return
 	}
+	flow.next += requestBytes
 	flow.request, flow.running, flow.done = p.request, false, false
 	if t.busy >= targetSlots && len(t.queue) >= targetQueue {
 		t.respond(s, p.flow, flow, true)
