Give the host that sends a request twice a matching sequence number

The commit before left TestChecksCanFail/ran_twice red: its host opened the second flow with a sequence number that does not fit the copied request.

--- a/platformstandin/checks_test.go
+++ b/platformstandin/checks_test.go
@@ -178,12 +178,11 @@
 			}
 			if p.Length > 0 { // the same request on another flow
 				binary.BigEndian.PutUint16(datagram[platform.TagBytes+8:], p.Source.Port()+20000)
-				datagram[platform.TagBytes+30] = 8
-				for _, server := range servers[:1] {
-					r.send(append([]byte(nil), datagram...), server)
-					datagram[platform.TagBytes+30] = 128
-					r.send(datagram, server)
-				}
+				opening := append([]byte(nil), datagram...)
+				opening[platform.TagBytes+30] = 8
+				binary.BigEndian.PutUint32(opening[platform.TagBytes+18:], p.Seq-1)
+				r.send(opening, servers[0])
+				r.send(datagram, servers[0])
 			}
 		}},
 	}
