Supervise the parts of an entry host, and forget hosts that left a feed

Cause: found in reading the code. Any part that failed ended the whole host; a host that closed its feed stayed a subscriber, as another value was taken out, until its queue was full. Change: a supervisor tree as in serve - knowledge, traffic, askers; leaving names the subscriber. Tests for both, the second red without the change.

--- a/entry/control.go
+++ b/entry/control.go
@@ -45,7 +45,11 @@
 				c.pending = c.take(a) || c.pending
 			}
 		case s := <-c.host.joins:
-			c.join(s)
+			if s.leaves {
+				delete(c.subscribers, s.subscriber)
+			} else {
+				c.join(s.subscriber)
+			}
 			continue
 		case <-tick.C:
 			if c.tracker.Tick(c.host.network.Now()) {
@@ -76,10 +80,6 @@
 
 // join adds a host that learns from this one, and tells it what it lacks.
 func (c *control) join(s *subscriber) {
-	if s.left {
-		delete(c.subscribers, s)
-		return
-	}
 	c.subscribers[s] = true
 	for source := range catalogue.Source(catalogue.SourceCount) {
 		if c.tracker.Known(source) && c.tracker.Version(source) > s.versions[source] {
@@ -123,7 +123,7 @@
 	}
 	h.mu.Unlock()
 	if !before.Ready() && next.catalogue.Ready() {
-		close(h.ready)
+		h.readyOnce.Do(func() { close(h.ready) })
 		h.log.Line("ready", "catalogue", next.catalogue.Number, "servers", next.catalogue.Servers())
 	}
 	if changed {
--- a/entry/export_test.go
+++ b/entry/export_test.go
@@ -28,3 +28,20 @@
 	h.snapshot.Store(&snapshot{})
 	return h.accepts(ctx, server)
 }
+
+// FedAfterLeaving lets another host join and leave a feed, and returns how many
+// answers it is handed afterwards.
+func FedAfterLeaving(ctx context.Context, network Network, answer catalogue.Answer) int {
+	h := Host{network: network, metrics: newMetrics(), joins: make(chan subscription), answers: make(chan []catalogue.Answer), ready: make(chan struct{})}
+	h.log.Logger = hclog.NewNullLogger()
+	h.snapshot.Store(&snapshot{})
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() { _ = (&control{host: &h}).run(ctx) }()
+	s := &subscriber{answers: make(chan catalogue.Answer, feedQueue), drop: cancel}
+	h.subscribe(ctx, subscription{subscriber: s})
+	h.subscribe(ctx, subscription{subscriber: s, leaves: true})
+	h.answers <- []catalogue.Answer{answer}
+	h.subscribe(ctx, subscription{subscriber: &subscriber{answers: make(chan catalogue.Answer, feedQueue), drop: cancel}})
+	return len(s.answers)
+}
--- a/entry/feed.go
+++ b/entry/feed.go
@@ -66,7 +66,12 @@
 	answers  chan catalogue.Answer
 	// drop ends the feed.
 	drop context.CancelFunc
-	left bool
+}
+
+// subscription asks the control goroutine to feed a host, or to stop that.
+type subscription struct {
+	subscriber *subscriber
+	leaves     bool
 }
 
 // ServeFeed tells another host what this one learns, until ctx or the stream ends.
@@ -84,16 +89,18 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s := &subscriber{versions: asked.Versions, answers: make(chan catalogue.Answer, feedQueue), drop: cancel}
-	if !h.join(ctx, s) {
+	if !h.subscribe(ctx, subscription{subscriber: s}) {
 		return
 	}
 	h.log.Line("feed_opened", "peer", asked.Host)
 	err = h.sendUpdates(ctx, stream, s)
 	h.log.Line("feed_closed", "peer", asked.Host, "error", err)
-	h.join(context.WithoutCancel(ctx), &subscriber{left: true})
+	h.subscribe(context.WithoutCancel(ctx), subscription{subscriber: s, leaves: true})
 }
 
-func (h *Host) join(ctx context.Context, s *subscriber) bool {
+// subscribe hands a subscription to the control goroutine. It returns false if the
+// host stops first.
+func (h *Host) subscribe(ctx context.Context, s subscription) bool {
 	select {
 	case h.joins <- s:
 		return true
--- a/entry/host.go
+++ b/entry/host.go
@@ -2,18 +2,16 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/hashicorp/go-hclog"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/rattanthread/rattanthread/catalogue"
 	"github.com/rattanthread/rattanthread/decisionlog"
 	"github.com/rattanthread/rattanthread/forwarding"
-	"github.com/rattanthread/rattanthread/platform"
 )
 
 // lingerTime is how long a stopping host goes on forwarding. The fabric takes a
@@ -48,10 +46,11 @@
 	// storeLost says that the last call on the store for servers has failed.
 	storeLost atomic.Bool
 	// ready is closed at the first catalogue that suffices to forward.
-	ready   chan struct{}
-	answers chan []catalogue.Answer
-	joins   chan *subscriber
-	done    <-chan struct{}
+	ready     chan struct{}
+	readyOnce sync.Once
+	answers   chan []catalogue.Answer
+	joins     chan subscription
+	done      <-chan struct{}
 	// fedUntil is how long the upstream is relied on, in nanoseconds since 1970.
 	fedUntil atomic.Int64
 }
@@ -78,41 +77,20 @@
 	h.probes = make(chan *catalogue.Server, maxProbes)
 	h.ready = make(chan struct{})
 	h.answers = make(chan []catalogue.Answer, catalogue.SourceCount)
-	h.joins = make(chan *subscriber)
+	h.joins = make(chan subscription)
 	h.snapshot.Store(&snapshot{})
 	work, stopWork := context.WithCancel(context.Background())
 	defer stopWork()
-	group, work := errgroup.WithContext(work)
 	h.done = work.Done()
-	store := platform.Store{
-		Address: func() string { return h.current.Load().Store.Address.String() },
-		HTTP:    &http.Client{Transport: h.network.Store},
-	}
-	for source := range catalogue.Source(catalogue.SourceCount) {
-		reader := storeReader{host: h, store: &store, follower: catalogue.Follower{Source: source}}
-		group.Go(func() error {
-			if source == catalogue.Hosts {
-				h.awaitReady(work)
-			}
-			return reader.run(work)
-		})
-	}
-	group.Go(func() error { return (&control{host: h}).run(work) })
-	group.Go(func() error { return (&feedClient{host: h}).run(work) })
-	group.Go(func() error { return h.serveMetrics(work) })
-	group.Go(func() error { return h.reload(work) })
-	group.Go(func() error { return h.register(work, &store) })
-	group.Go(func() error { return h.network.ServeFeed(work, h.ServeFeed) })
-	group.Go(func() error { return h.forward(work) })
-	group.Go(func() error { return h.probe(work) })
-	group.Go(func() error { return h.network.Serve(work, http.HandlerFunc(h.answerReadiness)) })
-	group.Go(func() error {
+	go func() {
 		h.awaitStop(ctx, work)
 		stopWork()
 		h.network.Close()
-		return nil
-	})
-	return group.Wait()
+	}()
+	if err := h.tree().Serve(work); !errors.Is(err, context.Canceled) {
+		return errors.Wrap(err, "serve")
+	}
+	return nil
 }
 
 // bound returns the time within which a change of a source must be in force.
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -25,6 +25,7 @@
 	probes    *prometheus.CounterVec
 	calls     *prometheus.CounterVec
 	upstreams *prometheus.CounterVec
+	restarts  prometheus.Counter
 	decision  prometheus.Histogram
 	age       prometheus.Histogram
 	call      prometheus.Histogram
@@ -61,6 +62,7 @@
 	m.probes = vec("probes_total", "Probes of servers, by result.", "result")
 	m.calls = vec("store_calls_total", "Calls on the platform's store, by source and result.", "source", "result")
 	m.upstreams = vec("upstream_total", "Changes of the host that this one learns from.", "change")
+	m.restarts = vec("restarts_total", "Parts of the host that failed and were started again.").WithLabelValues()
 	m.decision = histogram("decision_seconds", "Time to decide on a packet; a sample.", 250e-9)
 	m.age = histogram("configuration_age_seconds", "Age of the configuration when a packet was decided on; a sample.", 0.01)
 	m.call = histogram("store_call_seconds", "Time of a call on the store beyond the time it was told to wait.", 0.001)
--- /dev/null
+++ b/entry/tree_test.go
@@ -0,0 +1,94 @@
+package entry_test
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+
+	"github.com/rattanthread/rattanthread/catalogue"
+	"github.com/rattanthread/rattanthread/entry"
+	"github.com/rattanthread/rattanthread/fleet"
+)
+
+// idle is a network on which nothing happens.
+func idle() entry.Network {
+	closed := make(chan struct{})
+	wait := func(ctx context.Context, _ http.Handler) error {
+		<-ctx.Done()
+		return nil
+	}
+	return entry.Network{
+		Receive: func([]byte) (int, error) {
+			<-closed
+			return 0, errLost
+		},
+		Send: func([]byte, netip.AddrPort) error { return nil },
+		Identify: func(ctx context.Context, _ netip.AddrPort, _ string) (fleet.ServerID, error) {
+			<-ctx.Done()
+			return "", ctx.Err()
+		},
+		Serve:        wait,
+		ServeMetrics: wait,
+		ServeFeed: func(ctx context.Context, _ func(context.Context, *entry.Stream)) error {
+			<-ctx.Done()
+			return nil
+		},
+		DialFeed: func(context.Context, netip.AddrPort) (*entry.Stream, error) { return nil, errLost },
+		Store:    lostStore{},
+		Now:      time.Now,
+		Close:    func() { close(closed) },
+	}
+}
+
+type lostStore struct{}
+
+func (lostStore) RoundTrip(*http.Request) (*http.Response, error) { return nil, errLost }
+
+// TestFailedPartIsStartedAgain lets a part fail, and another one panic.
+func TestFailedPartIsStartedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var metrics, readiness atomic.Int32
+		network := idle()
+		network.ServeMetrics = func(ctx context.Context, _ http.Handler) error {
+			if metrics.Add(1) == 1 {
+				return errors.New("broken")
+			}
+			<-ctx.Done()
+			return nil
+		}
+		network.Serve = func(ctx context.Context, _ http.Handler) error {
+			if readiness.Add(1) == 1 {
+				panic("broken")
+			}
+			<-ctx.Done()
+			return nil
+		}
+		settings, err := entry.LoadSettings(goodFile)
+		is.NoErr(err)
+		h := entry.Host{Settings: settings, Logger: hclog.NewNullLogger(), Network: &network}
+		ctx, stop := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- h.Run(ctx) }()
+		time.Sleep(10 * time.Second)
+		is.Equal(metrics.Load(), int32(2))
+		is.Equal(readiness.Load(), int32(2))
+		is.Equal(len(ended), 0) // the others went on
+		stop()
+		is.NoErr(<-ended)
+	})
+}
+
+func TestHostThatLeftAFeedIsForgotten(t *testing.T) {
+	is := is.New(t)
+	answer := catalogue.Answer{Source: catalogue.Evacuations, Whole: true, Version: 3}
+	is.Equal(entry.FedAfterLeaving(t.Context(), idle(), answer), 0)
+}
