--- a/catalogue/catalogue.go
+++ b/catalogue/catalogue.go
@@ -83,7 +83,12 @@
 }
 
 // Servers returns how many servers are known.
-func (c *Catalogue) Servers() int { return c.count }
+func (c *Catalogue) Servers() int {
+	if c == nil {
+		return 0
+	}
+	return c.count
+}
 
 // Ready reports whether the catalogue suffices to forward.
 func (c *Catalogue) Ready() bool {
--- a/catalogue/tracker.go
+++ b/catalogue/tracker.go
@@ -49,6 +49,8 @@
 	Configuration *Configuration `cbor:"configuration,omitempty"`
 	Server        *Server        `cbor:"server,omitempty"`
 	Host          *fleet.Host    `cbor:"host,omitempty"`
+	// Fault says why the content could not be read.
+	Fault string `cbor:"fault,omitempty"`
 }
 
 // Answer is what the store said of one source.
@@ -74,6 +76,8 @@
 	Version Version
 	// Number is that of the configuration.
 	Number uint64
+	// Fault says why a record could not be read.
+	Fault string
 }
 
 // ChangeKind says what has changed.
@@ -88,13 +92,14 @@
 	ServerLapsed
 	ServerEnded
 	ConfigurationInForce
+	ConfigurationUnreadable
 	DataCentreOut
 	DataCentreIn
 )
 
 var changeNames = [...]string{
 	"server_added", "server_restarted", "server_draining", "server_unreadable", "server_lapsed",
-	"server_ended", "configuration_in_force", "data_centre_out", "data_centre_in",
+	"server_ended", "configuration_in_force", "configuration_unreadable", "data_centre_out", "data_centre_in",
 }
 
 // String returns the name of the kind in snake case.
@@ -218,6 +223,9 @@
 func (t *Tracker) applyConfigurations(a Answer) bool {
 	changed := false
 	for _, record := range a.Records {
+		if record.Fault != "" {
+			t.note(Change{Kind: ConfigurationUnreadable, Name: record.Name, Version: record.Changed, Fault: record.Fault})
+		}
 		if record.Configuration == nil || record.Changed <= t.configurationVersion {
 			continue
 		}
@@ -384,13 +392,15 @@
 // applyUnreadable takes a server with an unreadable record out of placement. Its
 // flows stay, as the record does not prove that the server has ended.
 func (t *Tracker) applyUnreadable(held *tracked, record Record) bool {
+	if record.Fault != "" {
+		t.note(Change{Kind: ServerUnreadable, Name: record.Name, Version: record.Changed, Fault: record.Fault})
+	}
 	if held == nil {
 		return false
 	}
 	server := *held.server
 	server.Draining = true
 	server.Changed = record.Changed
-	t.noteAbout(ServerUnreadable, &server, record.Changed)
 	t.servers[record.Name] = &tracked{server: &server}
 	return true
 }
--- a/catalogue/tracker_test.go
+++ b/catalogue/tracker_test.go
@@ -202,3 +202,16 @@
 	is.True(got.IsCold(start))
 	is.True(!got.IsCold(start.Add(2 * time.Second)))
 }
+
+func TestUnreadableConfigurationIsToldAndNotUsed(t *testing.T) {
+	is := is.New(t)
+	var tracker catalogue.Tracker
+	tracker.Take(start, configuration(2, 7))
+	tracker.Changes()
+	bad := catalogue.Record{Name: "main", Changed: 3, Fault: "route r1: bad address"}
+	tracker.Take(start, catalogue.Answer{Source: catalogue.Configurations, Version: 3, Records: []catalogue.Record{bad}})
+	is.Equal(tracker.Current().Configuration.Number, uint64(7)) // the last good one stays in force
+	is.Equal(tracker.Changes(), []catalogue.Change{
+		{Kind: catalogue.ConfigurationUnreadable, Name: "main", Version: 3, Fault: "route r1: bad address"},
+	})
+}
--- a/entry/control.go
+++ b/entry/control.go
@@ -126,8 +126,10 @@
 		h.readyOnce.Do(func() { close(h.ready) })
 		h.log.Line("ready", "catalogue", next.catalogue.Number, "servers", next.catalogue.Servers())
 	}
-	if changed {
+	if !c.pending {
 		c.logChanges(before.Ready())
+	}
+	if changed {
 		h.endFlows(before, next.catalogue)
 	}
 }
@@ -135,15 +137,23 @@
 // logChanges writes a line for each change of what the host believes. Servers
 // that were there at the start are counted only, to be ready sooner.
 func (c *control) logChanges(started bool) {
+	changes := c.tracker.Changes()
+	if len(changes) == 0 {
+		return
+	}
 	current := c.tracker.Current()
 	c.host.metrics.servers.Set(float64(current.Servers()))
-	for _, change := range c.tracker.Changes() {
+	for _, change := range changes {
 		if change.Kind == catalogue.ConfigurationInForce {
 			c.host.metrics.config.Set(float64(change.Number))
 		}
 		if change.Kind == catalogue.ServerAdded && !started {
 			continue
 		}
+		if change.Fault != "" {
+			c.host.log.Line(change.Kind.String(), "name", change.Name, "version", change.Version, "fault", change.Fault)
+			continue
+		}
 		c.host.log.Line(change.Kind.String(), "name", change.Name, "version", change.Version, "configuration", change.Number,
 			"catalogue", current.Number, "servers", current.Servers())
 	}
--- a/entry/export_test.go
+++ b/entry/export_test.go
@@ -29,6 +29,19 @@
 	return h.accepts(ctx, server)
 }
 
+// TakeFirst runs a control loop that takes in one answer, and reports whether it
+// lives on.
+func TakeFirst(ctx context.Context, network Network, answer catalogue.Answer) bool {
+	h := Host{network: network, metrics: newMetrics(), joins: make(chan subscription), answers: make(chan []catalogue.Answer), ready: make(chan struct{})}
+	h.log.Logger = hclog.NewNullLogger()
+	h.snapshot.Store(&snapshot{})
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() { _ = (&control{host: &h}).run(ctx) }()
+	h.answers <- []catalogue.Answer{answer}
+	return h.subscribe(ctx, subscription{subscriber: &subscriber{drop: cancel}})
+}
+
 // FedAfterLeaving lets another host join and leave a feed, and returns how many
 // answers it is handed afterwards.
 func FedAfterLeaving(ctx context.Context, network Network, answer catalogue.Answer) int {
--- a/entry/tree.go
+++ b/entry/tree.go
@@ -23,8 +23,8 @@
 // String returns the part's name for logs.
 func (p part) String() string { return p.name }
 
-// tree returns the supervisor tree: what the host knows, the traffic, and those who
-// ask. A part that fails is started again and stops no other.
+// tree returns the supervisor tree: what the host knows, the traffic, and the
+// endpoints. A part that fails is started again and stops no other.
 func (h *Host) tree() *suture.Supervisor {
 	root := h.supervisor("host")
 	root.Add(part{"knowledge", h.learn})
@@ -32,14 +32,14 @@
 	traffic.Add(part{"packets", h.forward})
 	traffic.Add(part{"probes", h.probe})
 	root.Add(traffic)
-	askers := h.supervisor("askers")
-	askers.Add(part{"readiness", func(ctx context.Context) error {
+	endpoints := h.supervisor("endpoints")
+	endpoints.Add(part{"readiness", func(ctx context.Context) error {
 		return h.network.Serve(ctx, http.HandlerFunc(h.answerReadiness))
 	}})
-	askers.Add(part{"metrics", h.serveMetrics})
-	askers.Add(part{"feeds", func(ctx context.Context) error { return h.network.ServeFeed(ctx, h.ServeFeed) }})
-	askers.Add(part{"settings", h.reload})
-	root.Add(askers)
+	endpoints.Add(part{"metrics", h.serveMetrics})
+	endpoints.Add(part{"feeds", func(ctx context.Context) error { return h.network.ServeFeed(ctx, h.ServeFeed) }})
+	endpoints.Add(part{"settings", h.reload})
+	root.Add(endpoints)
 	return root
 }
 
