Stand-in: Read the run of a host under the lock

Cause: go test -race of a clean clone found a race in TestTroubles/kill_hosts: the health checks read which run a machine has while a restart wrote it. All readers now take the lock. The race tests of the package pass.

--- a/platformstandin/site.go
+++ b/platformstandin/site.go
@@ -122,7 +122,7 @@
 	cancel()
 	actors.Wait()
 	for _, node := range s.hosts {
-		node.run.Kill()
+		s.RunOf(node).Kill()
 	}
 	s.processes.Wait()
 	return s.finish()
@@ -268,7 +268,8 @@
 func (s *Site) checkHosts(ctx context.Context) {
 	for {
 		for _, node := range s.hosts {
-			ready := node.run != nil && !node.run.Dead() && node.run.Ready()
+			run := s.RunOf(node)
+			ready := run != nil && !run.Dead() && run.Ready()
 			s.locked(func() { node.checked(ready) })
 		}
 		select {
--- a/platformstandin/trouble.go
+++ b/platformstandin/trouble.go
@@ -134,7 +134,7 @@
 func (s *Site) rollHosts() {
 	time.Sleep(2 * time.Second)
 	for _, node := range s.hosts {
-		node.run.Stop()
+		s.RunOf(node).Stop()
 		time.Sleep(2200 * time.Millisecond)
 		s.start(node)
 		time.Sleep(time.Second)
@@ -150,13 +150,13 @@
 
 func (s *Site) kill(from int) {
 	for _, node := range s.hosts[from:] {
-		node.run.Kill()
+		s.RunOf(node).Kill()
 	}
 }
 
 func (s *Site) restart() {
 	for _, node := range s.hosts {
-		if node.run.Dead() {
+		if s.RunOf(node).Dead() {
 			s.start(node)
 		}
 	}
