Drop a number that nobody reads, and keep to the time for a stop

Found in reading the change: Server.Index was set and never used. bounds.stop was read, checked and documented, and had no effect; a stopping host now lingers no longer than it. With the users' 6 s it lingers 1.6 s, as before.

--- a/catalogue/catalogue.go
+++ b/catalogue/catalogue.go
@@ -102,8 +102,7 @@
 		return cmp.Or(cmp.Compare(a.Created, b.Created), cmp.Compare(a.ID, b.ID))
 	})
 	named := make(map[Cookie]*Server, len(servers))
-	for i, server := range servers {
-		server.Index = i
+	for _, server := range servers {
 		cookie := CookieOf(server.ID)
 		if named[cookie] != nil {
 			server.Cookie = 0
--- a/catalogue/server.go
+++ b/catalogue/server.go
@@ -63,8 +63,6 @@
 	// Cookie names the server in packets. Zero if an older server has the same
 	// cookie, in which case this one gets no flow.
 	Cookie Cookie `cbor:"-"`
-	// Index numbers the servers of a catalogue from 0.
-	Index int `cbor:"-"`
 }
 
 // IsCold reports whether the server still bears little load.
--- a/entry/host.go
+++ b/entry/host.go
@@ -126,7 +126,7 @@
 	}
 	h.stopping.Store(true)
 	h.log.Line("stopping", "host", h.Settings.Host)
-	timer := time.NewTimer(lingerTime)
+	timer := time.NewTimer(min(lingerTime, h.current.Load().Bounds.Stop))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/placement/chooser_test.go
+++ b/placement/chooser_test.go
@@ -19,7 +19,7 @@
 	var servers []*catalogue.Server
 	for i, dc := range dataCentres {
 		id := fleet.ServerID(fmt.Sprintf("i-%02x", i+1))
-		servers = append(servers, &catalogue.Server{ID: id, DataCentre: dc, Cookie: catalogue.CookieOf(id), Index: i})
+		servers = append(servers, &catalogue.Server{ID: id, DataCentre: dc, Cookie: catalogue.CookieOf(id)})
 	}
 	return servers
 }
