Ask hosts that were cut off before guessing a flow's server

Cause: after a cut, an owner of either side decides alone until the sides know of each other (0.5 to 1 s later). A flow that one side placed off the agreed server is unknown to the other, which sends its packets to the agreed server. Besides, each side took the other's servers for unknown until records were compared, up to 1 s later, and split slots that are whole elsewhere.

Change: an owner asks the hosts that it holds dead about an unknown flow and drops its packets for 0.3 s at most; a former owner hands new flows on; lost hosts are pinged at every tick while three or more are lost; a side that returns is asked for its records at once.

Flows opened in the first tenths of a second in a slot that only one side has split still break.

--- a/backend/gossip.go
+++ b/backend/gossip.go
@@ -151,8 +151,14 @@
 		return nil
 	}
 	p.lastSync = now
+	return p.compare(p.nextPeers(1))
+}
+
+// compare compares digests with peers. Hosts that return from a cut are asked at
+// once: meanwhile each side has taken the other's servers for unknown.
+func (p *Pool) compare(peers []fleet.HostID) []fleet.Send {
 	var sends []fleet.Send
-	for _, peer := range p.nextPeers(1) {
+	for _, peer := range peers {
 		sends = append(sends, fleet.Send{To: peer, Message: &RecordDigest{Digest: p.Digest()}})
 	}
 	return sends
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -83,11 +83,23 @@
 		p.handovers = make(map[fleet.ServerID]receivedHandover)
 	}
 	p.self = v.Self
+	returned := p.returned(v.Hosts)
 	p.hosts = slices.Clone(v.Hosts)
 	p.noteHosts(now)
 	p.installServers(now, v)
 	p.credit.install(p.servers)
-	return p.flush()
+	return append(p.flush(), p.compare(returned)...)
+}
+
+// returned lists the hosts that had vanished and are back.
+func (p *Pool) returned(hosts []fleet.HostID) []fleet.HostID {
+	var returned []fleet.HostID
+	for _, h := range hosts {
+		if _, known := p.known[h]; known && !slices.Contains(p.hosts, h) {
+			returned = append(returned, h)
+		}
+	}
+	return returned
 }
 
 func (p *Pool) installServers(now time.Time, v View) {
--- /dev/null
+++ b/backend/returned_test.go
@@ -0,0 +1,33 @@
+package backend_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/rattanthread/rattanthread/backend"
+	"github.com/rattanthread/rattanthread/fleet"
+)
+
+// TestReturnedHostsAreComparedWith lets hosts vanish and return, and a new one
+// join. Records are compared at once with those that return, and with no other.
+func TestReturnedHostsAreComparedWith(t *testing.T) {
+	is := is.New(t)
+	var p backend.Pool
+	now := time.Unix(1_700_000_000, 0)
+	install := func(hosts ...fleet.HostID) []fleet.HostID {
+		now = now.Add(time.Second)
+		var compared []fleet.HostID
+		for _, s := range p.Install(now, backend.View{Self: "a1", Hosts: hosts}) {
+			if _, ok := s.Message.(*backend.RecordDigest); ok {
+				compared = append(compared, s.To)
+			}
+		}
+		return compared
+	}
+	is.Equal(len(install("a1", "b1", "b2")), 0) // all are new
+	is.Equal(len(install("a1")), 0)
+	is.Equal(install("a1", "b1", "b2", "b3"), []fleet.HostID{"b1", "b2"})
+	is.Equal(len(install("a1", "b1", "b2", "b3")), 0)
+}
--- a/control/core.go
+++ b/control/core.go
@@ -51,6 +51,7 @@
 	flows   flow.Router
 	keys    request.Keys
 	listed  hostList
+	doubts  doubts
 	join    join
 
 	seeded    bool
@@ -73,6 +74,7 @@
 	stage    uint64
 	records  uint64
 	settled  bool
+	doubted  uint64 // version of the doubts
 }
 
 // keyInputs tells what the keys were last given.
--- /dev/null
+++ b/control/doubt.go
@@ -0,0 +1,47 @@
+package control
+
+import (
+	"slices"
+	"time"
+
+	"github.com/rattanthread/rattanthread/fleet"
+	"github.com/rattanthread/rattanthread/membership"
+)
+
+// doubtAfterReturn is for how long a host that was held dead may still have placed
+// flows that others do not know.
+const doubtAfterReturn = 10 * time.Second
+
+// doubts are the hosts of other data centres that are, or were until a moment ago,
+// held dead. Such a host may have been cut off and have gone on placing flows.
+// Hosts of the own data centre are not doubted: a data centre is cut off as a whole.
+type doubts struct {
+	dead    map[fleet.HostID]time.Time // last seen dead
+	version uint64                     // of hosts
+	hosts   []fleet.HostID             // sorted
+}
+
+// observe takes the members as they are now, sorted by ID.
+func (d *doubts) observe(now time.Time, own fleet.DataCentreID, members []membership.Member) {
+	if d.dead == nil {
+		d.dead = make(map[fleet.HostID]time.Time)
+	}
+	var hosts []fleet.HostID
+	for _, m := range members {
+		if m.Host.DataCentre == own {
+			continue
+		}
+		if m.Status == membership.Dead {
+			d.dead[m.Host.ID] = now
+		}
+		if at, ok := d.dead[m.Host.ID]; ok && m.Status != membership.Left && now.Sub(at) < doubtAfterReturn {
+			hosts = append(hosts, m.Host.ID)
+			continue
+		}
+		delete(d.dead, m.Host.ID)
+	}
+	if !slices.Equal(hosts, d.hosts) {
+		d.hosts = hosts
+		d.version++
+	}
+}
--- a/control/refresh.go
+++ b/control/refresh.go
@@ -46,6 +46,7 @@
 		out.add(sent(c.servers.Install(now, c.serverView(now, revised.Set))))
 	}
 	out.add(c.refreshKeys(now, revised.Set, fresh || members != c.installed.members))
+	c.doubts.observe(now, c.options.Self.DataCentre, c.members.Members())
 	records := c.servers.Digest()
 	state := membership.State{Revision: revised.Revision, Digest: records ^ stage*stageFactor}
 	c.members.SetLocal(now, state)
@@ -56,6 +57,7 @@
 		stage:    stage,
 		records:  records,
 		settled:  c.members.Settled(now, state),
+		doubted:  c.doubts.version,
 	}
 	if next == c.installed {
 		return out
@@ -135,7 +137,7 @@
 }
 
 func (c *Core) flowView(now time.Time, set config.Set, settled bool) flow.View {
-	view := flow.View{Self: c.options.Self.ID, Hosts: c.liveIDs(), Settled: settled}
+	view := flow.View{Self: c.options.Self.ID, Hosts: c.liveIDs(), Doubted: c.doubts.hosts, Settled: settled}
 	weights := c.weights(now, set)
 	servers := make(map[fleet.ServiceName][]flow.Server)
 	for _, s := range set.Servers {
--- a/flow/decide.go
+++ b/flow/decide.go
@@ -58,7 +58,7 @@
 	f := d.split.live
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !d.split.owned && f.authority == authorityNone && !d.in.Handed {
+	if !d.split.owned && !d.in.Handed && (f.authority == authorityNone || d.yields()) {
 		return d.handOff()
 	}
 	reason := ReasonPlaced
@@ -79,6 +79,8 @@
 		return Decision{Service: d.view.name, Reason: ReasonNotOwner}
 	case d.first():
 		return d.place(reason)
+	case d.inquire():
+		return Decision{Service: d.view.name, Reason: ReasonInquiring}
 	}
 	return d.send(d.split.agreed, ReasonAgreed)
 }
--- a/flow/decision.go
+++ b/flow/decision.go
@@ -71,6 +71,7 @@
 	ReasonNotReady       Reason = "not_ready"       // dropped: split slots are not known yet
 	ReasonNotOwner       Reason = "not_owner"       // dropped: handed to a host that does not own the slot
 	ReasonAcquiring      Reason = "acquiring"       // dropped: the new owner does not know the slot's flows yet
+	ReasonInquiring      Reason = "inquiring"       // dropped: hosts that were cut off may know the flow
 	ReasonUnsettled      Reason = "unsettled"       // dropped: a new flow that no server may have yet
 	ReasonNoServer       Reason = "no_server"       // reset: no server takes new flows
 	ReasonRecordsFull    Reason = "records_full"    // reset: the flow would need a record, and none is free
@@ -82,7 +83,7 @@
 func Reasons() []Reason {
 	return []Reason{
 		ReasonTable, ReasonRecord, ReasonAgreed, ReasonPlaced, ReasonReused, ReasonLate, ReasonSplit,
-		ReasonUnknownAddress, ReasonNotReady, ReasonNotOwner, ReasonAcquiring, ReasonUnsettled,
+		ReasonUnknownAddress, ReasonNotReady, ReasonNotOwner, ReasonAcquiring, ReasonInquiring, ReasonUnsettled,
 		ReasonNoServer, ReasonRecordsFull, ReasonServerOut, ReasonServerGone,
 	}
 }
--- a/flow/message.go
+++ b/flow/message.go
@@ -5,7 +5,7 @@
 // Messages returns one zero value of each message of this package.
 func Messages() []fleet.Message {
 	return []fleet.Message{
-		new(SplitsRequest), new(Splits), new(Fetch), new(Records), new(Retire), new(Leave),
+		new(SplitsRequest), new(Splits), new(Fetch), new(Records), new(Retire), new(Leave), new(Inquiry),
 	}
 }
 
@@ -97,6 +97,23 @@
 	Flows  []uint64
 }
 
+// Inquiry asks which servers the receiver has given to some flows, in case it was
+// cut off from the sender when they were opened. Records without an ID answer it,
+// if the receiver knows any of the flows.
+type Inquiry struct {
+	Services []ServiceFlows `cbor:"services"`
+}
+
+// Kind implements fleet.Message.
+func (*Inquiry) Kind() fleet.MessageKind { return "flow_inquiry" }
+
+// ServiceFlows are some flows of one service, by their keyed hash.
+type ServiceFlows struct {
+	_       struct{} `cbor:",toarray"`
+	Service fleet.ServiceName
+	Flows   []uint64
+}
+
 // Retire tells that all flows of some slots are on one server, so that every
 // host can decide about them by its table.
 type Retire struct {
--- a/flow/router.go
+++ b/flow/router.go
@@ -68,6 +68,9 @@
 	stats    counters
 	copies   ring[copiedFlow]
 	handed   ring[handedFlow]
+	// questions are the flows to ask doubted hosts about, if any are doubtful.
+	questions ring[copiedFlow]
+	doubtful  atomic.Bool
 
 	// What follows belongs to the control goroutine.
 
@@ -109,6 +112,7 @@
 		r.begin(now)
 	}
 	r.view = v
+	r.doubtful.Store(len(v.Doubted) > 0)
 	if r.setHosts(now) {
 		r.assignOwners()
 	}
@@ -134,6 +138,7 @@
 	r.fetches = make(map[uint64]*fetch)
 	r.copies.resize(copyQueue)
 	r.handed.resize(handedFlows)
+	r.questions.resize(queuedInquiries)
 }
 
 // Tick does what is due at now: it copies and expires records, repeats messages
@@ -156,6 +161,7 @@
 	sends = append(sends, r.startFetches(now)...)
 	sends = append(sends, r.sweep(now)...)
 	sends = append(sends, r.copy(now)...)
+	sends = append(sends, r.askDoubted()...)
 	if r.dirty {
 		r.publish()
 	}
@@ -177,6 +183,8 @@
 		r.receiveSplits(now, from, m)
 	case *Fetch:
 		sends = r.answerFetch(now, from, m)
+	case *Inquiry:
+		sends = r.answerInquiry(now, from, m)
 	case *Records:
 		r.receiveRecords(now, from, m)
 	case *Retire:
--- a/flow/split.go
+++ b/flow/split.go
@@ -50,6 +50,8 @@
 	lastOther time.Time
 	records   recordSet
 	halfOpen  *halfOpenSet
+	// inquiries are the flows about which doubted hosts are asked.
+	inquiries []inquiry
 }
 
 // grant gives authority to decide, and makes room for half-open flows.
--- a/flow/sweep.go
+++ b/flow/sweep.go
@@ -58,6 +58,7 @@
 	state.live.mu.Lock()
 	defer state.live.mu.Unlock()
 	r.count.Add(int64(-state.live.records.expire(seconds(now), s.idleTimeout())))
+	state.live.expireInquiries(now)
 }
 
 // over returns the split slots that this host may retire.
--- a/flow/view.go
+++ b/flow/view.go
@@ -12,6 +12,9 @@
 type View struct {
 	Self  fleet.HostID
 	Hosts []fleet.HostID // live hosts, sorted
+	// Doubted are hosts, sorted, that may live and place flows without this host's
+	// knowledge, or did so until a moment ago: they were cut off.
+	Doubted []fleet.HostID
 	// Services are sorted by name. No two have the same address and protocol.
 	Services []Service
 	// Settled is true when every live host has acknowledged this view.
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -36,7 +36,7 @@
 	t.probes.relays = slices.DeleteFunc(t.probes.relays, func(r relay) bool { return now.After(r.expires) })
 	sends = t.retryProbes(now, sends)
 	if now.Before(t.probes.next) {
-		return sends
+		return t.pingCutOff(sends)
 	}
 	t.probes.next = now.Add(t.timing.Probe)
 	for _, m := range t.targets() {
@@ -236,6 +236,22 @@
 	return sends
 }
 
+// pingCutOff pings one lost member at every tick while so many are lost that they
+// are likely to be cut off: until the two sides know of each other, they place
+// flows without each other's knowledge.
+func (t *Table) pingCutOff(sends []fleet.Send) []fleet.Send {
+	t.rebuild()
+	if len(t.lost) < burstSuspects {
+		return sends
+	}
+	for _, m := range t.pick(t.lost, 1, "") {
+		t.probes.sequence++
+		ping := &Ping{Header: t.bareHeader(m.Host.ID), Sequence: t.probes.sequence}
+		sends = append(sends, fleet.Send{To: m.Host.ID, Message: ping})
+	}
+	return sends
+}
+
 // lostPings returns how many of n lost members to ping in this interval.
 func (t *Table) lostPings(n int) int {
 	if n == 0 {
--- a/membership/table_test.go
+++ b/membership/table_test.go
@@ -105,6 +105,18 @@
 	})
 }
 
+// TestSidesMeetSoon ends a cut. Until the sides know of each other they place flows
+// apart, so some host has to find the other side within a few ticks.
+func TestSidesMeetSoon(t *testing.T) {
+	each(t, func(is *is.I, n *network) {
+		n.cut = acrossSides
+		n.run(settled)
+		n.cut = nil
+		met := n.until(settled, func() bool { return !n.agreed(sameSide) })
+		is.True(met <= 3*tickEvery)
+	})
+}
+
 // TestMessagesFitDatagrams looks for the longest messages where most is to be
 // told: while a network starts, is cut in two, changes its state and heals.
 func TestMessagesFitDatagrams(t *testing.T) {
