Keep cold servers within their bound, summed over all hosts

Cause: a cold server was only passed over. When all servers of a service come back cold, every host opened what it liked on them: in the new trouble return_cold a cold target got over 40 flows in a second, 8 allowed.

Ruled out: credit from a keeper, as serve has it (messages for each flow); leaving cold servers out altogether (nothing would be served).

Change: hosts that know of the same hosts split the bound without a message; where it is less than one flow for each, the first by a hash get one. Two places are kept free for hosts that others do not know yet. Beyond it a flow is refused at once. Zero as the rate still means no bound. The stand-in checks the bound and, with probes of a route that comes and goes, that a configuration is in force in time; a rogue host for each turns the check red. Traces tell of each start.

Conclusion: FAILBACK and CONFIG have their end-to-end checks.

--- a/catalogue/catalogue.go
+++ b/catalogue/catalogue.go
@@ -20,6 +20,7 @@
 	gone    map[Cookie]bool
 	pools   map[fleet.ServiceName]*Pool
 	hosts   []fleet.Host
+	hostIDs []fleet.HostID
 	// evacuations says that the data centres that are out are known.
 	evacuations bool
 	count       int
@@ -44,6 +45,11 @@
 type Pool struct {
 	All    []*Server
 	Places map[fleet.DataCentreID][]*Server
+	// ColdRate is how many flows a second a cold one of them bears; zero if the
+	// configuration does not say.
+	ColdRate float64
+	// Hosts are all that may place flows on them, as far as they are known.
+	Hosts []fleet.HostID
 }
 
 // Pool returns the servers of a service that may get new flows. It is empty, and
@@ -59,7 +65,11 @@
 func (c *Catalogue) add(server *Server) {
 	pool := c.pools[server.Service]
 	if pool == nil {
-		pool = &Pool{Places: make(map[fleet.DataCentreID][]*Server)}
+		pool = &Pool{
+			Places:   make(map[fleet.DataCentreID][]*Server),
+			ColdRate: c.Service(server.Service).ColdRate,
+			Hosts:    c.hostIDs,
+		}
 		c.pools[server.Service] = pool
 	}
 	pool.All = append(pool.All, server)
--- a/catalogue/tracker.go
+++ b/catalogue/tracker.go
@@ -453,15 +453,16 @@
 		server := *held.server
 		servers = append(servers, &server)
 	}
+	for _, record := range t.hosts {
+		c.hosts = append(c.hosts, *record.Host)
+		c.hostIDs = append(c.hostIDs, record.Host.ID)
+	}
 	c.servers = uniqueCookies(servers)
 	for _, server := range servers {
 		if server.Cookie != 0 && !server.Draining && !t.evacuated[server.DataCentre] {
 			c.add(server)
 		}
 	}
-	for _, record := range t.hosts {
-		c.hosts = append(c.hosts, *record.Host)
-	}
 	for cookie := range t.gone {
 		c.gone[cookie] = c.servers[cookie] == nil
 	}
--- a/command/site.go
+++ b/command/site.go
@@ -11,7 +11,6 @@
 	"github.com/google/subcommands"
 	"github.com/hashicorp/go-hclog"
 
-	"github.com/rattanthread/rattanthread/fleet"
 	"github.com/rattanthread/rattanthread/platformstandin"
 	"github.com/rattanthread/rattanthread/replay"
 )
@@ -92,7 +91,7 @@
 	if err != nil {
 		return nil, err
 	}
-	recorder := replay.EntryRecorder{Out: file, DataCentre: fleet.DataCentreID(site.Zones[0])}
+	recorder := replay.EntryRecorder{Out: file}
 	site.Record = recorder.Record
 	report := site.Run(c.length, trouble)
 	return report, errors.Join(recorder.Err(), file.Close())
--- a/entry/event.go
+++ b/entry/event.go
@@ -11,6 +11,8 @@
 // pointers is set, or Ticked or Published.
 type Event struct {
 	At time.Time
+	// Settings are those of a host that starts.
+	Settings *Settings
 	// Answer is one that the host has taken in.
 	Answer *catalogue.Answer
 	// Ticked says that time has changed what is known.
--- a/entry/host.go
+++ b/entry/host.go
@@ -12,6 +12,7 @@
 	"github.com/rattanthread/rattanthread/catalogue"
 	"github.com/rattanthread/rattanthread/decisionlog"
 	"github.com/rattanthread/rattanthread/forwarding"
+	"github.com/rattanthread/rattanthread/placement"
 )
 
 // lingerTime is how long a stopping host goes on forwarding. The fabric takes a
@@ -74,6 +75,8 @@
 	h.metrics = newMetrics()
 	h.log.Line("start", "host", h.Settings.Host, "data_centre", h.Settings.DataCentre)
 	h.forwarder.Chooser.DataCentre = h.Settings.DataCentre
+	h.forwarder.Chooser.Colds = placement.Colds{Self: h.Settings.Host, Bound: h.Settings.Bounds.cold()}
+	h.record(Event{Settings: &h.Settings})
 	h.probes = make(chan *catalogue.Server, maxProbes)
 	h.ready = make(chan struct{})
 	h.answers = make(chan []catalogue.Answer, catalogue.SourceCount)
@@ -144,6 +147,9 @@
 			next := *h.current.Load()
 			next.Store, next.Peers, next.Bounds = changed.Store, changed.Peers, changed.Bounds
 			h.current.Store(&next)
+			h.mu.Lock()
+			h.forwarder.Chooser.Colds.Bound = next.Bounds.cold()
+			h.mu.Unlock()
 			restart := next.Listen != changed.Listen || next.Host != changed.Host || next.DataCentre != changed.DataCentre
 			h.log.Line("reloaded", "store", next.Store.Address, "needs_restart", restart)
 		}
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -10,6 +10,7 @@
 
 	"github.com/rattanthread/rattanthread/declaration"
 	"github.com/rattanthread/rattanthread/fleet"
+	"github.com/rattanthread/rattanthread/placement"
 	"github.com/rattanthread/rattanthread/platform"
 )
 
@@ -62,6 +63,14 @@
 	Evacuation time.Duration `toml:"evacuation"`
 	// Stop is the time that a stopping process has.
 	Stop time.Duration `toml:"stop"`
+	// ColdOver and ColdSlack bound the new flows of a cold server: its rate times
+	// ColdOver, and ColdSlack flows a second more, over all hosts.
+	ColdOver  float64 `toml:"cold_over"`
+	ColdSlack float64 `toml:"cold_slack"`
+}
+
+func (b Bounds) cold() placement.ColdBound {
+	return placement.ColdBound{Over: b.ColdOver, Slack: b.ColdSlack}
 }
 
 // Limits are what the host may use. Hosts with more of both read the store for
@@ -89,6 +98,9 @@
 	minBound = 500 * time.Millisecond
 	maxBound = 10 * time.Minute
 
+	maxColdOver  = 100
+	maxColdSlack = 1e6
+
 	maxCores    = 1024
 	maxMegabits = 1e6
 )
@@ -146,6 +158,8 @@
 	require("bounds.drain", declaration.RangeFault(s.Bounds.Drain, minBound, maxBound))
 	require("bounds.evacuation", declaration.RangeFault(s.Bounds.Evacuation, minBound, maxBound))
 	require("bounds.stop", declaration.RangeFault(s.Bounds.Stop, minBound, maxBound))
+	require("bounds.cold_over", declaration.RangeFault(s.Bounds.ColdOver, 0, maxColdOver))
+	require("bounds.cold_slack", declaration.RangeFault(s.Bounds.ColdSlack, 0, maxColdSlack))
 	require("limits.cores", declaration.RangeFault(s.Limits.Cores, 0, maxCores))
 	require("limits.link_megabits", declaration.RangeFault(s.Limits.LinkMegabits, 0, maxMegabits))
 	problems.Sort()
--- a/forwarding/forwarder.go
+++ b/forwarding/forwarder.go
@@ -163,6 +163,7 @@
 		return Decision{Action: Refuse, Reason: NoServer}
 	}
 	d := Decision{Action: Forward, Reason: Placed, Server: server, Cookie: server.Cookie.On(p.Destination)}
+	f.Chooser.Opened(now, pool, server)
 	f.flows.Opened(now, &p, server.Cookie, failed)
 	if failed.Count() > 0 {
 		d.Reason, d.Tries = PlacedAgain, failed.Count()
@@ -177,7 +178,11 @@
 func (f *Forwarder) failed(now time.Time, pool *catalogue.Pool, hash uint64, p *Packet) placement.Failed {
 	failed := f.flows.Failed(now, p)
 	for failed.Count() < min(int(p.Ack), maxCopies) && len(pool.All) > 0 {
-		failed.Add(f.Chooser.Choose(now, pool, hash, failed).Cookie)
+		server := f.Chooser.Choose(now, pool, hash, failed)
+		if server == nil {
+			break
+		}
+		failed.Add(server.Cookie)
 	}
 	return failed
 }
@@ -255,6 +260,7 @@
 func (f *Forwarder) Ended(server catalogue.Cookie) []Packet {
 	f.Chooser.Reach.Forget(server)
 	f.Chooser.Loads.Forget(server)
+	f.Chooser.Colds.Forget(server)
 	return f.flows.Ended(server)
 }
 
--- a/placement/chooser.go
+++ b/placement/chooser.go
@@ -58,6 +58,8 @@
 	Outages Outages
 	// Loads holds how busy servers are.
 	Loads Loads
+	// Colds keeps cold servers within their bound.
+	Colds Colds
 }
 
 // Reasons to pass over a server, the gravest highest.
@@ -68,28 +70,34 @@
 	suspected
 	failed
 	unreachable
+	exhausted // a cold server that may get no more for now
 )
 
-// Choose returns the server for a new flow, or nil if the pool is empty. Servers
-// on which the caller's last tries have failed come last. Hosts with the same
+// Choose returns the server for a new flow, or nil if there is none that may get
+// it. Servers on which the caller's last tries have failed come last. Hosts with the same
 // catalogue and the same suspicions choose alike.
 func (c *Chooser) Choose(now time.Time, pool *catalogue.Pool, flow uint64, tried Failed) *catalogue.Server {
 	if tried.local() {
-		if server, against := c.best(now, pool.Places[c.DataCentre], flow, &tried); server != nil && against == 0 {
+		if server, against := c.best(now, pool, pool.Places[c.DataCentre], flow, &tried); server != nil && against == 0 {
 			return server
 		}
 	}
-	server, _ := c.best(now, pool.All, flow, &tried)
+	server, against := c.best(now, pool, pool.All, flow, &tried)
+	if against&exhausted != 0 {
+		return nil
+	}
 	return server
 }
 
-// best returns the best of some servers, and the reasons against it.
-func (c *Chooser) best(now time.Time, servers []*catalogue.Server, flow uint64, tried *Failed) (*catalogue.Server, int) {
+// best returns the best of some servers of a pool, and the reasons against it.
+func (c *Chooser) best(
+	now time.Time, pool *catalogue.Pool, servers []*catalogue.Server, flow uint64, tried *Failed,
+) (*catalogue.Server, int) {
 	var best *catalogue.Server
 	var bestAgainst int
 	var bestScore uint64
 	for _, server := range servers {
-		against, score := c.against(now, server, tried), score(flow, server.Cookie)
+		against, score := c.against(now, pool, server, tried), score(flow, server.Cookie)
 		if best == nil || against < bestAgainst || against == bestAgainst && score > bestScore {
 			best, bestAgainst, bestScore = server, against, score
 		}
@@ -98,7 +106,7 @@
 }
 
 // against returns the reasons to pass over a server.
-func (c *Chooser) against(now time.Time, server *catalogue.Server, tried *Failed) int {
+func (c *Chooser) against(now time.Time, pool *catalogue.Pool, server *catalogue.Server, tried *Failed) int {
 	reasons := 0
 	local := server.DataCentre == c.DataCentre
 	if local != tried.local() {
@@ -109,6 +117,9 @@
 	}
 	if server.IsCold(now) {
 		reasons |= cold
+		if !c.Colds.Allow(now, pool, server.Cookie) {
+			reasons |= exhausted
+		}
 	}
 	if c.Suspects.Suspected(now, server.Cookie) {
 		reasons |= suspected
@@ -122,6 +133,13 @@
 	return reasons
 }
 
+// Opened notes that a new flow goes to a server that Choose has returned.
+func (c *Chooser) Opened(now time.Time, pool *catalogue.Pool, server *catalogue.Server) {
+	if server.IsCold(now) {
+		c.Colds.Opened(now, pool, server.Cookie)
+	}
+}
+
 // score ranks a server for a flow by rendezvous hashing.
 func score(flow uint64, server catalogue.Cookie) uint64 {
 	var data [12]byte
--- a/platformstandin/checks_test.go
+++ b/platformstandin/checks_test.go
@@ -162,6 +162,16 @@
 				r.send(datagram, server)
 			}
 		}},
+		{"FAILBACK", "return_cold", func(r *rogue, p forwarding.Packet, datagram []byte, servers []*catalogue.Server) {
+			if server := byCookie(p, servers); server != nil {
+				r.send(datagram, server) // cold or not
+			}
+		}},
+		{"CONFIG", "configure", func(r *rogue, p forwarding.Packet, datagram []byte, servers []*catalogue.Server) {
+			if server := byCookie(p, servers); server != nil {
+				r.send(datagram, server) // by whatever configuration
+			}
+		}},
 		{"UNASKED", "none", func(r *rogue, p forwarding.Packet, datagram []byte, servers []*catalogue.Server) {
 			server := byCookie(p, servers)
 			if server == nil {
--- a/platformstandin/host.go
+++ b/platformstandin/host.go
@@ -100,6 +100,7 @@
 	e.Listen.Packets = netip.MustParseAddrPort("10.0.0.1:8172")
 	e.Store.Address = netip.MustParseAddrPort("10.200.0.1:8169")
 	e.Bounds = entry.Bounds{Configuration: s.bound, Drain: s.bound, Evacuation: 5 * time.Second, Stop: 6 * time.Second}
+	e.Bounds.ColdOver, e.Bounds.ColdSlack = ColdOver, ColdSlack
 	return e
 }
 
--- a/platformstandin/report.go
+++ b/platformstandin/report.go
@@ -141,6 +141,9 @@
 	if t.state == Draining && time.Since(t.since) > s.bound && s.storeCalm() {
 		s.breaks("DRAIN: " + t.ID + " got a new flow")
 	}
+	if t.flows[p.flow] == nil {
+		s.openedCold(t)
+	}
 	if since, out := s.evacuated(t.Zone); out && since > 5*time.Second && s.storeCalm() {
 		s.breaks("EVAC: " + t.ID + " got a new flow")
 	}
--- a/platformstandin/site.go
+++ b/platformstandin/site.go
@@ -79,6 +79,8 @@
 	runs        map[uint64]int
 	report0     Report
 	nextID      int
+	// probes counts the probes of the configuration.
+	probes int
 }
 
 type listener struct {
@@ -174,7 +176,13 @@
 			"name": "r" + route.String(), "host": route.Addr().String(), "path_prefix": "/" + strconv.Itoa(int(route.Port())) + "/", "service": "press",
 		})
 	}
-	s.Store.Put("config", "main", map[string]any{"version": version, "routes": routes, "limits": map[string]any{"idle_timeout_ms": 15000}})
+	var services []map[string]any
+	for _, name := range []string{"bench", "press"} {
+		services = append(services, map[string]any{
+			"name": name, "health_path": "/health", "warmup_s": coldTime.Seconds(), "cold_per_s": coldRate,
+		})
+	}
+	s.Store.Put("config", "main", map[string]any{"version": version, "routes": routes, "services": services, "limits": map[string]any{"idle_timeout_ms": 15000}})
 }
 
 func (s *Site) addTarget(service, zone string, work time.Duration) *Target {
@@ -242,7 +250,7 @@
 		silent[t.ID] = 0
 		s.Store.Put("servers", t.ID, map[string]any{
 			"service": t.Service, "address": t.Address.String(), "zone": t.Zone, "version": "v1", "slots": targetSlots,
-			"state": word, "cold_remaining_ms": 0, "seq": 1, "born": 1,
+			"state": word, "cold_remaining_ms": t.cold().Milliseconds(), "seq": 1, "born": 1,
 		})
 	}
 }
--- a/platformstandin/target.go
+++ b/platformstandin/target.go
@@ -43,6 +43,10 @@
 	queue []*targetFlow
 	// opened counts the flows that the target has accepted.
 	opened int
+	// warmAt is when the target bears full load; coldOpened holds when it got new
+	// flows before.
+	warmAt     time.Time
+	coldOpened []time.Time
 }
 
 type targetFlow struct {
--- a/platformstandin/trouble.go
+++ b/platformstandin/trouble.go
@@ -22,6 +22,8 @@
 		{"reuse", "targets crash, and their addresses go to another service", (*Site).reuse},
 		{"drain", "targets are replaced one after the other", func(s *Site) { s.release(3*time.Second, 3) }},
 		{"evacuate", "a zone is taken out and back", (*Site).evacuate},
+		{"return_cold", "all targets of a service crash and come back cold", (*Site).returnCold},
+		{"configure", "a route is added and dropped, and hosts are asked for it", (*Site).configure},
 		{"burst", "clients send three times as much", (*Site).burst},
 		{"stop_hosts", "each host is stopped and started in turn", (*Site).rollHosts},
 		{"kill_hosts", "all hosts are killed at once", (*Site).killHosts},
--- a/replay/entryhost.go
+++ b/replay/entryhost.go
@@ -18,11 +18,14 @@
 	"github.com/rattanthread/rattanthread/placement"
 )
 
-// EntryEvent is a line of the trace of an entry host on the users' platform. The
-// first line has the data centre only.
+// EntryEvent is a line of the trace of an entry host on the users' platform. A line
+// with a data centre is the start of the host, and tells of nothing else.
 type EntryEvent struct {
 	At         Duration           `json:"at"`
 	DataCentre fleet.DataCentreID `json:"data_centre,omitempty"`
+	Host       fleet.HostID       `json:"host,omitempty"`
+	ColdOver   float64            `json:"cold_over,omitempty"`
+	ColdSlack  float64            `json:"cold_slack,omitempty"`
 	// Answer is a catalogue.Answer of the store, asked at Asked.
 	Answer    json.RawMessage  `json:"answer,omitempty"`
 	Asked     Duration         `json:"asked,omitempty"`
@@ -49,10 +52,9 @@
 	Confirmed Duration `json:"confirmed"`
 }
 
-// EntryRecorder writes the trace of an entry host. Out and DataCentre must be set.
+// EntryRecorder writes the trace of an entry host. Out must be set.
 type EntryRecorder struct {
-	Out        io.Writer
-	DataCentre fleet.DataCentreID
+	Out io.Writer
 
 	mu    sync.Mutex
 	start time.Time
@@ -68,10 +70,6 @@
 	}
 	if r.start.IsZero() {
 		r.start = e.At
-		r.err = r.line(EntryEvent{DataCentre: r.DataCentre})
-	}
-	if r.err != nil {
-		return
 	}
 	line, err := r.event(e)
 	if err == nil {
@@ -99,6 +97,9 @@
 func (r *EntryRecorder) event(e entry.Event) (EntryEvent, error) {
 	line := EntryEvent{At: r.since(e.At), Ticked: e.Ticked, Published: e.Published, Ended: e.Ended}
 	switch {
+	case e.Settings != nil:
+		line.DataCentre, line.Host = e.Settings.DataCentre, e.Settings.Host
+		line.ColdOver, line.ColdSlack = e.Settings.Bounds.ColdOver, e.Settings.Bounds.ColdSlack
 	case e.Answer != nil:
 		body, err := encode(e.Answer)
 		if err != nil {
@@ -180,7 +181,10 @@
 func (r *entryRun) step(e EntryEvent) (string, error) {
 	switch {
 	case e.DataCentre != "":
-		r.forwarder.Chooser = placement.Chooser{DataCentre: e.DataCentre}
+		r.tracker, r.known, r.forwarder = catalogue.Tracker{}, nil, forwarding.Forwarder{}
+		r.forwarder.Chooser = placement.Chooser{DataCentre: e.DataCentre, Colds: placement.Colds{
+			Self: e.Host, Bound: placement.ColdBound{Over: e.ColdOver, Slack: e.ColdSlack},
+		}}
 	case e.Answer != nil:
 		var a catalogue.Answer
 		if err := decode(e.Answer, &a); err != nil {
