Start with the first page of a long list, and tell joiners only what they lack

Cause: at 298 hosts each starting host reads 3,000 servers in six pages, and a page that failed made it begin again. A host that joined a feed and lacked one change was told all servers (1 MB to 60 hosts). An update could name a version whose changes were still queued; a feed cut just then lost them for good.

Ruled out: serializable lists at the start (may be seconds old); peers, as after a common outage none knows anything.

Change: a list goes on at the page that failed; a host without servers starts with the first page, drops what it does not know, and refuses nothing for lack of a server until the list is whole. Joiners and relists are told the changes since their version, by the servers' revisions and remembered removals. An update takes the queue after the versions. (No test forces that last order of two goroutines; it was found by reading.)

--- a/catalogue/catalogue.go
+++ b/catalogue/catalogue.go
@@ -21,8 +21,9 @@
 	pools   map[fleet.ServiceName]*Pool
 	hosts   []fleet.Host
 	hostIDs []fleet.HostID
-	// evacuations says that the data centres that are out are known.
-	evacuations bool
+	// evacuations says that the data centres that are out are known, and whole that
+	// all servers are.
+	evacuations, whole bool
 	count       int
 }
 
@@ -105,6 +106,10 @@
 	return c != nil && c.Configuration != nil && c.evacuations && c.count > 0
 }
 
+// Whole reports whether all servers are known, as opposed to the first pages of
+// their list.
+func (c *Catalogue) Whole() bool { return c.whole }
+
 // uniqueCookies gives each server its cookie. Of two servers with the same one
 // the older keeps it, since only that one can have flows.
 func uniqueCookies(servers []*Server) map[Cookie]*Server {
--- a/catalogue/tracker.go
+++ b/catalogue/tracker.go
@@ -132,11 +132,13 @@
 	evacuated            map[fleet.DataCentreID]bool
 	servers              map[string]*tracked
 	gone                 map[Cookie]time.Time
+	removed              removals
 	hosts                map[string]Record
 }
 
 // tracked is a server and what became of its record.
 type tracked struct {
+	name   string
 	server *Server
 	// lapsed is when the record went away; zero while it is there.
 	lapsed time.Time
@@ -274,6 +276,9 @@
 		t.gone = make(map[Cookie]time.Time)
 	}
 	changed := a.Whole
+	if a.Whole && t.removed.base == 0 {
+		t.removed.base = a.Version
+	}
 	if a.Whole {
 		t.lapseMissing(now, a.Records, a.Version)
 	}
@@ -361,8 +366,9 @@
 	server := *record.Server
 	server.WarmAt = now.Add(server.Cold)
 	t.noteServer(held, &server)
-	t.servers[record.Name] = &tracked{server: &server}
+	t.servers[record.Name] = &tracked{name: record.Name, server: &server}
 	delete(t.gone, CookieOf(server.ID))
+	delete(t.removed.at, record.Name)
 	return true
 }
 
@@ -370,6 +376,7 @@
 func (t *Tracker) lapse(now time.Time, held *tracked, version Version) {
 	held.lapsed = now
 	t.lapsed = true
+	t.removed.add(held.name, t.versions[Servers])
 	t.noteAbout(ServerLapsed, held.server, version)
 }
 
@@ -441,6 +448,7 @@
 		pools:         make(map[fleet.ServiceName]*Pool),
 		count:         len(t.servers),
 		evacuations:   t.listed[Evacuations],
+		whole:         t.listed[Servers],
 	}
 	if t.configuration != nil {
 		for i := range t.configuration.Routes {
--- a/entry/control.go
+++ b/entry/control.go
@@ -67,9 +67,13 @@
 
 // take takes in an answer and passes its changes on.
 func (c *control) take(a catalogue.Answer) bool {
-	newer := a.Version > c.tracker.Version(a.Source)
+	before := c.tracker.Version(a.Source)
+	newer := a.Version > before
 	c.host.record(Event{Answer: &a})
 	changed := c.tracker.Take(c.host.network.Now(), a)
+	if newer && a.Whole {
+		a = c.tracker.Since(c.host.network.Now(), a.Source, before)
+	}
 	if newer {
 		for s := range c.subscribers {
 			c.pass(s, a)
@@ -83,7 +87,7 @@
 	c.subscribers[s] = true
 	for source := range catalogue.Source(catalogue.SourceCount) {
 		if c.tracker.Known(source) && c.tracker.Version(source) > s.versions[source] {
-			c.pass(s, c.tracker.Whole(c.host.network.Now(), source))
+			c.pass(s, c.tracker.Since(c.host.network.Now(), source, s.versions[source]))
 		}
 	}
 }
--- a/entry/feed.go
+++ b/entry/feed.go
@@ -116,16 +116,15 @@
 	tick := time.NewTicker(feedTime)
 	defer tick.Stop()
 	for {
-		var answers []catalogue.Answer
+		var first []catalogue.Answer
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case a := <-s.answers:
-			answers = drain(s.answers, []catalogue.Answer{a})
+			first = append(first, a)
 		case <-tick.C:
-			answers = drain(s.answers, nil)
 		}
-		message, err := cbor.Marshal(h.update(answers))
+		message, err := cbor.Marshal(h.update(first, s.answers))
 		if err != nil {
 			return errors.Wrap(err, "encode update")
 		}
@@ -138,6 +137,18 @@
 	}
 }
 
+// update describes what this host knows now, with the answers that wait. These are
+// taken last: an update that names a version has all changes up to it.
+func (h *Host) update(answers []catalogue.Answer, queue <-chan catalogue.Answer) update {
+	known, now := h.snapshot.Load(), h.network.Now()
+	u := update{Answers: drain(queue, answers), Versions: known.versions}
+	for source, confirmed := range known.confirmed {
+		u.Known[source] = !confirmed.IsZero()
+		u.Ages[source] = max(0, now.Sub(confirmed))
+	}
+	return u
+}
+
 func drain(queue <-chan catalogue.Answer, answers []catalogue.Answer) []catalogue.Answer {
 	for {
 		select {
@@ -149,17 +160,6 @@
 	}
 }
 
-// update describes what this host knows now.
-func (h *Host) update(answers []catalogue.Answer) update {
-	known, now := h.snapshot.Load(), h.network.Now()
-	u := update{Answers: answers, Versions: known.versions}
-	for source, confirmed := range known.confirmed {
-		u.Known[source] = !confirmed.IsZero()
-		u.Ages[source] = max(0, now.Sub(confirmed))
-	}
-	return u
-}
-
 // feedClient learns from another host, as long as one is better placed to read
 // the store.
 type feedClient struct {
@@ -203,7 +203,7 @@
 	h := f.host
 	now := h.network.Now()
 	known := h.snapshot.Load().catalogue
-	if known.Ready() {
+	if known.Ready() && known.Whole() {
 		peer, ok := f.chooser.Choose(now, known.Hosts())
 		return peer.PeerAddress, ok
 	}
--- a/entry/reader.go
+++ b/entry/reader.go
@@ -15,6 +15,7 @@
 	host     *Host
 	store    *platform.Store
 	follower catalogue.Follower
+	listing  catalogue.Listing
 }
 
 func (r *storeReader) run(ctx context.Context) error {
@@ -49,6 +50,7 @@
 	if rest <= 0 {
 		return false
 	}
+	r.listing.Reset()
 	timer := time.NewTimer(rest)
 	defer timer.Stop()
 	select {
@@ -73,27 +75,60 @@
 		r.host.storeLost.Store(err != nil)
 	}
 	r.host.metrics.countCall(call.Source, result, answered.Sub(asked)-waited)
-	answer.Asked = answered
-	if call.Whole {
-		answer.Asked = asked
+	if !call.Whole {
+		answer.Asked = answered
 	}
 	return answer, err
 }
 
 func (r *storeReader) call(ctx context.Context, call catalogue.Call) (catalogue.Answer, error) {
 	if call.Whole {
-		return r.store.List(ctx, call.Source, call.Timeout)
+		return r.list(ctx, call)
 	}
 	ctx, cancel := context.WithTimeout(ctx, call.Timeout)
 	defer cancel()
 	return r.store.Watch(ctx, call.Source, call.After, call.Wait)
 }
 
+// list reads all records, from the page on at which it failed last. A page that
+// takes longer than the timeout ends it, so that a long list may take its time and
+// a silent store is noticed.
+func (r *storeReader) list(ctx context.Context, call catalogue.Call) (catalogue.Answer, error) {
+	for {
+		asked := r.host.network.Now()
+		reading, cancel := context.WithTimeout(ctx, call.Timeout)
+		page, next, err := r.store.Page(reading, call.Source, r.listing.After())
+		cancel()
+		if err != nil {
+			return page, err
+		}
+		whole, done := r.listing.Add(asked, page, next)
+		if done {
+			return whole, nil
+		}
+		r.begin(ctx, page)
+	}
+}
+
+// begin lets a host that knows no server yet start with the first pages. Flows of
+// servers on later ones wait: their cookies are unknown, which ends no flow.
+func (r *storeReader) begin(ctx context.Context, page catalogue.Answer) {
+	if page.Source != catalogue.Servers || r.host.snapshot.Load().versions[page.Source] != 0 {
+		return
+	}
+	page.Version = 0
+	select {
+	case r.host.answers <- []catalogue.Answer{page}:
+	case <-ctx.Done():
+	}
+}
+
 func (r *storeReader) failed(ctx context.Context, err error) {
 	source := r.follower.Source.String()
 	if errors.Is(err, platform.ErrHistoryGone) {
 		r.host.log.Line("history_gone", "source", source)
 		r.follower.Forgotten()
+		r.listing.Reset()
 		return
 	}
 	pause, lost := r.follower.Failed()
--- /dev/null
+++ b/entry/reader_test.go
@@ -0,0 +1,88 @@
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+
+	"github.com/rattanthread/rattanthread/entry"
+	"github.com/rattanthread/rattanthread/platformstandin"
+)
+
+// tornStore fails the first calls for a later page of a list, after a while.
+type tornStore struct {
+	store    http.RoundTripper
+	failures int
+
+	mu          sync.Mutex
+	first, late int // calls for the first page, and for later ones
+}
+
+func (s *tornStore) RoundTrip(r *http.Request) (*http.Response, error) {
+	query := r.URL.Query()
+	if r.URL.Path == "/api/objects/servers" && !query.Has("watch") {
+		if s.count(query.Has("after")) {
+			<-r.Context().Done()
+			return nil, r.Context().Err()
+		}
+	}
+	return s.store.RoundTrip(r)
+}
+
+// count counts a call and reports whether it fails.
+func (s *tornStore) count(later bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !later {
+		s.first++
+		return false
+	}
+	s.late++
+	return s.late <= s.failures
+}
+
+// largeStore returns a store with servers on three pages.
+func largeStore() *platformstandin.Store {
+	s := new(platformstandin.Store)
+	s.Put("config", "main", map[string]any{"version": 1, "routes": []map[string]any{
+		{"name": "feed", "host": "198.18.0.1", "path_prefix": "/443/", "service": "bench"},
+	}})
+	for i := range 1100 {
+		s.Put("servers", fmt.Sprintf("i-%06x", i), map[string]any{
+			"service": "bench", "address": fmt.Sprintf("10.0.%d.%d:80", i/250, i%250), "zone": "a", "slots": 2, "state": "ready", "cold_remaining_ms": 0, "seq": 1,
+		})
+	}
+	return s
+}
+
+// TestLongListGoesOnWhereItFailed starts a host while later pages of the list of
+// servers fail. It forwards with the first page, and asks for that one once.
+func TestLongListGoesOnWhereItFailed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		settings, err := entry.LoadSettings(goodFile)
+		is.NoErr(err)
+		torn := &tornStore{store: largeStore().Transport("front-a-1"), failures: 3}
+		network := idle()
+		network.Store = torn
+		h := entry.Host{Settings: settings, Logger: hclog.NewNullLogger(), Network: &network}
+		ctx, stop := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- h.Run(ctx) }()
+		time.Sleep(300 * time.Millisecond)
+		is.True(h.Ready())
+		is.Equal(torn.late, 1) // and the second page is still asked for
+		time.Sleep(10 * time.Second)
+		is.Equal(torn.first, 1)
+		is.Equal(torn.late, torn.failures+2)
+		stop()
+		is.NoErr(<-ended)
+	})
+}
--- a/forwarding/forwarder.go
+++ b/forwarding/forwarder.go
@@ -159,6 +159,9 @@
 	pool := c.Pool(c.Pick(route, hash))
 	failed := f.failed(now, pool, hash, &p)
 	server := f.Chooser.Choose(now, pool, hash, failed)
+	if server == nil && !c.Whole() {
+		return Decision{Reason: NotReady}
+	}
 	if server == nil {
 		return Decision{Action: Refuse, Reason: NoServer}
 	}
--- a/forwarding/forwarder_test.go
+++ b/forwarding/forwarder_test.go
@@ -104,6 +104,9 @@
 	var w world
 	known := learn(w.configuration("bench"), w.servers(server("i-01", "bench")))
 	empty := learn(w.configuration("bench"), w.servers(server("i-02", "sheets")))
+	part := w.servers(server("i-02", "sheets"))
+	part.Whole, part.Version = false, 0
+	partial := learn(w.configuration("bench"), part)
 	elsewhere := netip.MustParseAddrPort("198.18.0.9:443")
 	tests := []struct {
 		name   string
@@ -131,6 +134,7 @@
 			forwarding.Drop, forwarding.RouteUnknown,
 		},
 		{"no server that may get flows", empty, 0, opening(), forwarding.Refuse, forwarding.NoServer},
+		{"no server on the first page of a list", partial, 0, opening(), forwarding.Drop, forwarding.NotReady},
 		{
 			"an answer to an opening, which no caller sends", known, 0,
 			forwarding.Packet{Source: caller, Destination: feed, Kind: forwarding.Foreign},
--- a/platformstandin/checks_test.go
+++ b/platformstandin/checks_test.go
@@ -33,7 +33,7 @@
 		return
 	}
 	go func() {
-		answer, err := r.store.List(t.Context(), catalogue.Servers, time.Minute)
+		answer, err := r.store.List(t.Context(), catalogue.Servers)
 		if err != nil {
 			return
 		}
