--- a/entry/reader_test.go
+++ b/entry/reader_test.go
@@ -49,15 +49,13 @@
 	return s.late <= s.failures
 }
 
-// largeStore returns a store with servers on three pages.
-func largeStore() *platformstandin.Store {
-	s := new(platformstandin.Store)
-	s.Put("config", "main", map[string]any{"version": 1, "routes": []map[string]any{
-		{"name": "feed", "host": "198.18.0.1", "path_prefix": "/443/", "service": "bench"},
-	}})
+// largeSite returns a site whose store has servers on three pages.
+func largeSite() *platformstandin.Site {
+	s := new(platformstandin.Site)
+	s.Configure(1, nil)
 	for i := range 1100 {
-		s.Put("servers", fmt.Sprintf("i-%06x", i), map[string]any{
-			"service": "bench", "address": fmt.Sprintf("10.0.%d.%d:80", i/250, i%250), "zone": "a", "slots": 2, "state": "ready", "cold_remaining_ms": 0, "seq": 1,
+		s.Store.Put("servers", fmt.Sprintf("i-%06x", i), map[string]any{
+			"service": "bench", "address": fmt.Sprintf("10.0.%d.%d:80", i/250, i%250), "zone": "a", "slots": 2, "state": "ready",
 		})
 	}
 	return s
@@ -70,7 +68,7 @@
 		is := is.New(t)
 		settings, err := entry.LoadSettings(goodFile)
 		is.NoErr(err)
-		torn := &tornStore{store: largeStore().Transport("front-a-1"), failures: 3}
+		torn := &tornStore{store: largeSite().Store.Transport("front-a-1"), failures: 3}
 		network := idle()
 		network.Store = torn
 		h := entry.Host{Settings: settings, Logger: hclog.NewNullLogger(), Network: &network}
