Remove the records of hosts that are gone for good

Cause: a host writes its record once, and nothing removed it.

Ruled out: records that are written again and again (490 hosts, each a call a few seconds); removal at a planned stop (a host that is only restarted would write twice, and a crash leaves the record).

--- a/catalogue/catalogue.go
+++ b/catalogue/catalogue.go
@@ -21,6 +21,7 @@
 	pools   map[fleet.ServiceName]*Pool
 	hosts   []fleet.Host
 	hostIDs []fleet.HostID
+	changed map[fleet.HostID]Version // of hosts
 	// evacuations says that the data centres that are out are known, and whole that
 	// all servers are.
 	evacuations, whole bool
@@ -85,6 +86,9 @@
 	return c.hosts
 }
 
+// HostChanged returns the version of the last change of a host's record.
+func (c *Catalogue) HostChanged(id fleet.HostID) Version { return c.changed[id] }
+
 // Service returns what the configuration says of a service, if anything.
 func (c *Catalogue) Service(name fleet.ServiceName) Service {
 	if c == nil || c.Configuration == nil {
--- a/catalogue/tracker.go
+++ b/catalogue/tracker.go
@@ -461,7 +461,9 @@
 		server := *held.server
 		servers = append(servers, &server)
 	}
+	c.changed = make(map[fleet.HostID]Version, len(t.hosts))
 	for _, record := range t.hosts {
+		c.changed[record.Host.ID] = record.Changed
 		c.hosts = append(c.hosts, *record.Host)
 		c.hostIDs = append(c.hostIDs, record.Host.ID)
 	}
--- a/platformstandin/store.go
+++ b/platformstandin/store.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -119,6 +120,13 @@
 	s.record(kind, *object, true)
 }
 
+// Names returns the names of the objects of a kind, sorted.
+func (s *Store) Names(kind string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Sorted(maps.Keys(s.objects[kind]))
+}
+
 // spec returns the content of an object, or nil.
 func (s *Store) spec(kind, name string) map[string]any {
 	s.mu.Lock()
@@ -230,7 +238,12 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	if r.Method != http.MethodGet {
+	switch r.Method {
+	case http.MethodGet:
+	case http.MethodDelete:
+		s.remove(w, r, kind)
+		return
+	default:
 		s.write(w, r, kind)
 		return
 	}
@@ -248,6 +261,25 @@
 	s.watch(w, r, kind, after, time.Duration(wait)*time.Millisecond)
 }
 
+// remove deletes an object, unless its revision is not the one that is named.
+func (s *Store) remove(w http.ResponseWriter, r *http.Request, path string) {
+	kind, name, _ := strings.Cut(path, "/")
+	revision, err := strconv.ParseUint(r.URL.Query().Get("revision"), 10, 64)
+	s.mu.Lock()
+	object := s.objects[kind][name]
+	changed := object != nil && err == nil && object.Meta.Revision != revision
+	s.mu.Unlock()
+	switch {
+	case object == nil:
+		w.WriteHeader(http.StatusNotFound)
+	case changed:
+		w.WriteHeader(http.StatusConflict)
+	default:
+		s.Delete(kind, name)
+		writeJSON(w, map[string]any{})
+	}
+}
+
 // write creates an object, named in its body, or replaces one, named in the path.
 func (s *Store) write(w http.ResponseWriter, r *http.Request, path string) {
 	var object Object
