--- a/platformstandin/packet.go
+++ b/platformstandin/packet.go
@@ -71,3 +71,10 @@
 	// host is set on a reset by an entry host.
 	host bool
 }
+
+// OpeningPacket returns a packet with which a client asks for a flow.
+func OpeningPacket() []byte {
+	client := netip.MustParseAddrPort("127.0.0.9:1000")
+	p := segment{flow: flowID{client, feedRoute}, flags: flagSYN, seq: 1}
+	return p.encode()
+}
