Do not wait for a host that knows nothing

Cause: of hosts that start while the store is away, those that ask a seed which has just started too were told of nothing known; the time for which that may be relied on is zero, and zero counted as recent at the very moment. Each such update stopped the reading of the store for a second, and the next came after 0.4 s.

Ruled out: the store's return not seen (the readers were not asking at all).

Change: something to rely on for no time is not recent; a host that knows nothing leaves one that knows nothing either after 2 s.

--- a/entry/feed.go
+++ b/entry/feed.go
@@ -233,7 +233,7 @@
 	h.log.Line("upstream_chosen", "peer", to)
 	h.metrics.upstreams.WithLabelValues("chosen").Inc()
 	fresh := upstream.Freshness{Silence: feedSilence}
-	blind := !h.snapshot.Load().catalogue.Ready()
+	blind, began := !h.snapshot.Load().catalogue.Ready(), h.network.Now()
 	for {
 		if err := f.receive(ctx, stream, &fresh); err != nil {
 			return err
@@ -241,6 +241,9 @@
 		if !blind && !fresh.Fresh(h.network.Now()) {
 			return errors.New("late")
 		}
+		if blind && !h.snapshot.Load().catalogue.Ready() && h.network.Now().Sub(began) > blindTime {
+			return errors.New("knows nothing either")
+		}
 	}
 }
 
--- a/platformstandin/report.go
+++ b/platformstandin/report.go
@@ -15,6 +15,8 @@
 	Classes map[string]*ClassReport
 	// Broken lists the rules that did not hold, in the order of time.
 	Broken []string
+	// Unready is how many hosts that ran at the end took no traffic.
+	Unready int
 	// Calls is how many calls the store has had.
 	Calls int
 	// Seconds holds the credit earned and owed in each second.
@@ -91,6 +93,9 @@
 			line("second %d  %.3f of the credit", i, second.Share())
 		}
 	}
+	if r.Unready > 0 {
+		line("%d hosts are not ready", r.Unready)
+	}
 	for _, broken := range r.Broken {
 		line("BROKEN %s", broken)
 	}
--- a/platformstandin/site.go
+++ b/platformstandin/site.go
@@ -123,9 +123,16 @@
 	time.Sleep(length)
 	cancel()
 	actors.Wait()
+	unready := 0
+	for _, node := range s.hosts {
+		if run := s.RunOf(node); !run.Dead() && !run.Ready() {
+			unready++
+		}
+	}
 	for _, node := range s.hosts {
 		s.RunOf(node).Kill()
 	}
+	s.locked(func() { s.report0.Unready = unready })
 	s.processes.Wait()
 	return s.finish()
 }
--- a/platformstandin/trouble.go
+++ b/platformstandin/trouble.go
@@ -38,6 +38,7 @@
 		{"store_refuses_hosts", "the store turns one host in three away", (*Site).storeRefusesHosts},
 		{"records_lapse", "records lapse while the store is away, and come back", (*Site).recordsLapse},
 		{"hosts_start_blind", "hosts are killed while the store is away", (*Site).hostsStartBlind},
+		{"seeds_start_blind", "the hosts that others ask first are killed while the store is away", (*Site).seedsStartBlind},
 	}
 }
 
@@ -321,5 +322,19 @@
 	s.Store.SetFaults(Faults{})
 }
 
+func (s *Site) seedsStartBlind() {
+	time.Sleep(3 * time.Second)
+	s.locked(func() { s.storeHarmed = time.Now() })
+	s.Store.SetFaults(Faults{Outage: Silent})
+	time.Sleep(time.Second)
+	for _, node := range s.hosts[:len(s.hosts)-1] {
+		s.RunOf(node).Kill()
+	}
+	time.Sleep(500 * time.Millisecond)
+	s.restart()
+	time.Sleep(2 * time.Second)
+	s.Store.SetFaults(Faults{})
+}
+
 // String describes the trouble.
 func (t Trouble) String() string { return fmt.Sprintf("%-20s %s", t.Name, t.About) }
--- a/upstream/freshness.go
+++ b/upstream/freshness.go
@@ -18,7 +18,7 @@
 // Fresh reports whether the host may rely on its upstream.
 func (f *Freshness) Fresh(now time.Time) bool {
 	since := now.Sub(f.heard)
-	return !f.heard.IsZero() && since <= f.Silence && since <= f.slack
+	return !f.heard.IsZero() && since <= f.Silence && since < f.slack
 }
 
 // Slack returns how long something of an age is still recent enough to rely on
