Form a tree of feeds in large data centres

Change: hosts rank each other as before and learn from the one above them in a tree of 16; one whose ancestors are silent turns to the best that answers. Where bounds leave no time for two hops all learn from the root, as on the first sites.

--- a/catalogue/follower.go
+++ b/catalogue/follower.go
@@ -60,7 +60,7 @@
 		return Call{Source: f.Source, Whole: true, Timeout: callTimeout * time.Duration(min(1+f.failed, maxPatience))}
 	}
 	timeout := callTimeout * time.Duration(min(max(1, f.failed), maxPatience))
-	wait := min(f.Bound/3, maxWait)
+	wait := LongestWait(f.Bound)
 	if f.Source == Hosts {
 		wait = hostsWait
 	}
@@ -70,6 +70,10 @@
 	return Call{Source: f.Source, After: f.version, Wait: wait, Timeout: wait + timeout}
 }
 
+// LongestWait returns how long a watch may wait for a change that must be in force
+// within a bound.
+func LongestWait(bound time.Duration) time.Duration { return min(bound/3, maxWait) }
+
 // Answered takes in an answer. It reports whether the store was lost before.
 func (f *Follower) Answered(version Version) bool {
 	regained := f.failed > 0
--- a/entry/feed.go
+++ b/entry/feed.go
@@ -31,6 +31,8 @@
 	blindTime = 2 * time.Second
 	// blindPause is how soon it looks whether the store is lost.
 	blindPause = 300 * time.Millisecond
+	// feedFanout is how many hosts of its data centre one host feeds.
+	feedFanout = 16
 	// maxFeedBytes bounds a message of a feed.
 	maxFeedBytes = 8 << 20
 	// feedQueue is how many answers wait for a slow subscriber.
@@ -197,6 +199,16 @@
 	}
 }
 
+// fanout returns how many hosts learn from one. Where the bounds leave no time for
+// two hops, all learn from one host.
+func (h *Host) fanout() int {
+	tightest := min(h.bound(catalogue.Servers), h.bound(catalogue.Evacuations), h.bound(catalogue.Configurations))
+	if upstream.Slack(tightest, catalogue.LongestWait(tightest)) < 3*feedTime {
+		return 0
+	}
+	return feedFanout
+}
+
 // next returns the address to learn from. Seeds are asked only by a host that
 // knows nothing.
 func (f *feedClient) next(started time.Time) (netip.AddrPort, bool) {
@@ -204,6 +216,7 @@
 	now := h.network.Now()
 	known := h.snapshot.Load().catalogue
 	if known.Ready() && known.Whole() {
+		f.chooser.Fanout = h.fanout()
 		peer, ok := f.chooser.Choose(now, known.Hosts())
 		return peer.PeerAddress, ok
 	}
--- a/upstream/chooser.go
+++ b/upstream/chooser.go
@@ -18,6 +18,9 @@
 // goroutine.
 type Chooser struct {
 	Self fleet.Host
+	// Fanout is how many hosts learn from one: the hosts of a data centre form a
+	// tree, the strongest at its root. Zero means that all learn from the strongest.
+	Fanout int
 
 	failed map[netip.AddrPort]time.Time
 }
@@ -25,10 +28,8 @@
 // Choose returns the peer to learn from. It returns false if the host itself
 // should read the store.
 func (c *Chooser) Choose(now time.Time, peers []fleet.Host) (fleet.Host, bool) {
-	for _, peer := range ranked(c.local(peers)) {
-		if peer.ID == c.Self.ID {
-			break
-		}
+	better := c.better(peers)
+	for _, peer := range append(c.ancestors(better), better...) {
 		if c.usable(now, peer.PeerAddress) {
 			return peer, true
 		}
@@ -36,6 +37,30 @@
 	return fleet.Host{}, false
 }
 
+// better returns the peers of the own data centre that rank before this host.
+func (c *Chooser) better(peers []fleet.Host) []fleet.Host {
+	all := ranked(c.local(peers))
+	for i, peer := range all {
+		if peer.ID == c.Self.ID {
+			return all[:i]
+		}
+	}
+	return all
+}
+
+// ancestors returns the hosts above this one in the tree, its parent first.
+func (c *Chooser) ancestors(better []fleet.Host) []fleet.Host {
+	if c.Fanout < 1 {
+		return nil
+	}
+	var above []fleet.Host
+	for rank := len(better); rank > 0; {
+		rank = (rank - 1) / c.Fanout
+		above = append(above, better[rank])
+	}
+	return above
+}
+
 // Seed returns the address of a host to learn from while neither the store nor
 // any peer is known. It returns false if none is left to try for now.
 func (c *Chooser) Seed(now time.Time, seeds []netip.AddrPort) (netip.AddrPort, bool) {
--- a/upstream/chooser_test.go
+++ b/upstream/chooser_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -121,3 +122,69 @@
 		})
 	}
 }
+
+// parents lets each host of a data centre choose, with some that do not answer.
+func parents(all []fleet.Host, fanout int, silent ...fleet.HostID) map[fleet.HostID]fleet.HostID {
+	chosen := make(map[fleet.HostID]fleet.HostID)
+	for _, self := range all {
+		c := upstream.Chooser{Self: self, Fanout: fanout}
+		for _, other := range all {
+			if slices.Contains(silent, other.ID) {
+				c.Failed(start, other.PeerAddress)
+			}
+		}
+		if peer, ok := c.Choose(start, slices.Clone(all)); ok {
+			chosen[self.ID] = peer.ID
+		}
+	}
+	return chosen
+}
+
+// TestTreeOfFeeds bounds how many hosts one feeds, and how far the last one is from
+// the host that reads the store, at the size of the largest data centre.
+func TestTreeOfFeeds(t *testing.T) {
+	is := is.New(t)
+	all := peers("a", 98)
+	all[42].Strength = 8
+	chosen := parents(all, 16)
+	is.Equal(len(chosen), 97) // one reads the store
+	fed := make(map[fleet.HostID]int)
+	for id, parent := range chosen {
+		fed[parent]++
+		hops := 0
+		for ok := true; ok; hops++ {
+			id, ok = chosen[id]
+		}
+		is.True(hops-1 <= 2)
+	}
+	is.Equal(fed[all[42].ID], 16)
+	for _, count := range fed {
+		is.True(count <= 16)
+	}
+}
+
+// TestTreeWithoutItsRoot lets the strongest host and a parent fall silent: one
+// other host reads the store, and no more.
+func TestTreeWithoutItsRoot(t *testing.T) {
+	is := is.New(t)
+	all := peers("a", 98)
+	whole := parents(all, 16)
+	var root, parent fleet.HostID
+	for _, id := range whole {
+		if whole[id] == "" {
+			root = id
+		} else {
+			parent = id
+		}
+	}
+	chosen := parents(all, 16, root, parent)
+	readers := 0
+	for _, host := range all {
+		if up, fed := chosen[host.ID]; !fed && host.ID != root && host.ID != parent {
+			readers++
+		} else {
+			is.True(up != root && up != parent)
+		}
+	}
+	is.Equal(readers, 1)
+}
