Probe an unreachable server with one connection a second, not three

Change: the first probe tries three connections, as a packet may be lost; of a server that is known to be unreachable each later one tries one.

--- a/entry/export_test.go
+++ b/entry/export_test.go
@@ -26,7 +26,18 @@
 func Accepts(ctx context.Context, network Network, server *catalogue.Server) bool {
 	h := Host{network: network}
 	h.snapshot.Store(&snapshot{})
-	return h.accepts(ctx, server)
+	return h.accepts(ctx, server, probeAttempts)
+}
+
+// Probe probes a server until it is reachable.
+func Probe(ctx context.Context, network Network, answer catalogue.Answer) {
+	h := Host{network: network, metrics: newMetrics()}
+	h.log.Logger = hclog.NewNullLogger()
+	var tracker catalogue.Tracker
+	tracker.Take(network.Now(), answer)
+	h.snapshot.Store(&snapshot{catalogue: tracker.Current()})
+	server := answer.Records[0].Server
+	h.probeServer(ctx, h.snapshot.Load().catalogue.Server(catalogue.CookieOf(server.ID)))
 }
 
 // TakeFirst runs a control loop that takes in one answer, and reports whether it
--- a/entry/probe.go
+++ b/entry/probe.go
@@ -14,7 +14,8 @@
 const (
 	// maxProbes bounds the servers that wait to be probed.
 	maxProbes = 1024
-	// probeAttempts is how many connections are tried, probeGap apart.
+	// probeAttempts is how many connections are tried, probeGap apart. Of a server
+	// that is unreachable one at a time is enough: a lost packet costs a probePause.
 	probeAttempts = 3
 	probeGap      = 50 * time.Millisecond
 	// maxRefused is how many refused connections show that a server has ended.
@@ -42,9 +43,10 @@
 
 // probeServer probes a server until it accepts a connection or its record ends.
 func (h *Host) probeServer(ctx context.Context, server *catalogue.Server) {
+	attempts := probeAttempts
 	for {
 		start := h.network.Now()
-		reachable := h.accepts(ctx, server)
+		reachable := h.accepts(ctx, server, attempts)
 		if ctx.Err() != nil {
 			return
 		}
@@ -62,6 +64,7 @@
 		if reachable {
 			return
 		}
+		attempts = 1
 		select {
 		case <-time.After(probePause):
 		case <-ctx.Done():
@@ -101,16 +104,16 @@
 // accepts reports whether a server accepts a connection. Several are tried, as
 // one packet may be lost; a host that refuses two has no server. One on which
 // another server answers, to which the address has gone, has not either.
-func (h *Host) accepts(ctx context.Context, server *catalogue.Server) bool {
+func (h *Host) accepts(ctx context.Context, server *catalogue.Server, attempts int) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTime)
 	defer cancel()
 	path := h.snapshot.Load().catalogue.Service(server.Service).HealthPath
-	results := make(chan probeResult, probeAttempts)
+	results := make(chan probeResult, attempts)
 	next := time.NewTicker(probeGap)
 	defer next.Stop()
 	tried, refused := 0, 0
 	try := func() {
-		if tried < probeAttempts {
+		if tried < attempts {
 			tried++
 			go func() {
 				id, err := h.network.Identify(ctx, server.Address, path)
@@ -128,7 +131,7 @@
 			if errors.Is(r.err, syscall.ECONNREFUSED) || errors.Is(r.err, syscall.ECONNRESET) {
 				refused++
 			}
-			if refused == maxRefused {
+			if refused == min(maxRefused, attempts) {
 				return false
 			}
 			try()
--- a/entry/probe_test.go
+++ b/entry/probe_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -67,3 +68,28 @@
 		})
 	}
 }
+
+// TestUnreachableServerCostsOneConnectionASecond probes a server that is silent
+// for a while, as those of a data centre without power are.
+func TestUnreachableServerCostsOneConnectionASecond(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		start := time.Now()
+		var tries atomic.Int32
+		network := idle()
+		network.Identify = func(ctx context.Context, _ netip.AddrPort, _ string) (fleet.ServerID, error) {
+			tries.Add(1)
+			if time.Since(start) > 10*time.Second {
+				return "i-01", nil
+			}
+			<-ctx.Done()
+			return "", errLost
+		}
+		entry.Probe(t.Context(), network, catalogue.Answer{
+			Source: catalogue.Servers, Whole: true, Version: 1,
+			Records: []catalogue.Record{{Name: "i-01", Changed: 1, Server: &catalogue.Server{ID: "i-01", Service: "bench"}}},
+		})
+		is.True(tries.Load() <= 3+10)
+		is.True(time.Since(start) < 13*time.Second)
+	})
+}
