--- a/control/doubt.go
+++ b/control/doubt.go
@@ -23,23 +23,22 @@
 
 // observe takes the members as they are now, sorted by ID.
 func (d *doubts) observe(now time.Time, own fleet.DataCentreID, members []membership.Member) {
-	if d.dead == nil {
-		d.dead = make(map[fleet.HostID]time.Time)
-	}
+	dead := make(map[fleet.HostID]time.Time)
 	var hosts []fleet.HostID
 	for _, m := range members {
-		if m.Host.DataCentre == own {
+		if m.Host.DataCentre == own || m.Status == membership.Left {
 			continue
 		}
+		at, known := d.dead[m.Host.ID]
 		if m.Status == membership.Dead {
-			d.dead[m.Host.ID] = now
+			at, known = now, true
 		}
-		if at, ok := d.dead[m.Host.ID]; ok && m.Status != membership.Left && now.Sub(at) < doubtAfterReturn {
+		if known && now.Sub(at) < doubtAfterReturn {
+			dead[m.Host.ID] = at
 			hosts = append(hosts, m.Host.ID)
-			continue
 		}
-		delete(d.dead, m.Host.ID)
 	}
+	d.dead = dead
 	if !slices.Equal(hosts, d.hosts) {
 		d.hosts = hosts
 		d.version++
