Tell joiners of removed servers that could not be read

Found by reading the change once more: the name kept with each server was lost when its record became unreadable, and the removal was then remembered under no name. A host that joined a feed after it kept the server, draining. The name is the key of the map, so it is passed along instead of kept twice.

Also: the changes since a version are worked out only if another host is fed (the first list of a starting host made them for nobody), and from the records that have changed, not from all.

TestUnreadableServerIsToldRemoved fails without the change.

--- a/catalogue/since.go
+++ b/catalogue/since.go
@@ -28,18 +28,14 @@
 	}
 }
 
-// Since returns what has changed of a source after a version, and all of it if
-// that is not known or hardly shorter.
+// Since returns what has changed of the servers after a version, as far as their
+// removals are remembered; else, and of the other sources, all that is known.
 func (t *Tracker) Since(now time.Time, source Source, version Version) Answer {
 	if source != Servers || version == 0 || version < t.removed.base {
 		return t.Whole(now, source)
 	}
 	a := Answer{Source: source, Version: t.versions[source], Asked: t.confirmed[source]}
-	for _, record := range t.serverRecords(now) {
-		if record.Changed > version {
-			a.Records = append(a.Records, record)
-		}
-	}
+	a.Records = t.serverRecords(now, version)
 	for name, at := range t.removed.at {
 		if at > version {
 			a.Records = append(a.Records, Record{Name: name, Changed: at, Removed: true})
--- a/catalogue/since_test.go
+++ b/catalogue/since_test.go
@@ -68,6 +68,17 @@
 	return append(there, gone...)
 }
 
+// TestUnreadableServerIsToldRemoved removes a server whose record could not be read
+// before.
+func TestUnreadableServerIsToldRemoved(t *testing.T) {
+	is := is.New(t)
+	var tracker catalogue.Tracker
+	tracker.Take(start, servers(10, true, serverRecord("i-1", 5)))
+	tracker.Take(start, servers(12, false, catalogue.Record{Name: "i-1", Changed: 12, Fault: "no address"}))
+	tracker.Take(start, servers(14, false, removed("i-1", 12)))
+	is.Equal(namesOf(tracker.Since(start, catalogue.Servers, 12)), []string{"-i-1"})
+}
+
 // TestSinceForgetsOldRemovals removes more servers than are remembered.
 func TestSinceForgetsOldRemovals(t *testing.T) {
 	is := is.New(t)
--- a/catalogue/tracker.go
+++ b/catalogue/tracker.go
@@ -138,7 +138,6 @@
 
 // tracked is a server and what became of its record.
 type tracked struct {
-	name   string
 	server *Server
 	// lapsed is when the record went away; zero while it is there.
 	lapsed time.Time
@@ -315,17 +314,18 @@
 			a.Records = append(a.Records, Record{Name: string(id), Changed: a.Version})
 		}
 	case Servers:
-		a.Records = t.serverRecords(now)
+		a.Records = t.serverRecords(now, 0)
 	case Hosts:
 		a.Records = slices.Collect(maps.Values(t.hosts))
 	}
 	return a
 }
 
-func (t *Tracker) serverRecords(now time.Time) []Record {
+// serverRecords returns the records that have changed after a version; zero means all.
+func (t *Tracker) serverRecords(now time.Time, after Version) []Record {
 	var records []Record
 	for name, held := range t.servers {
-		if !held.lapsed.IsZero() {
+		if !held.lapsed.IsZero() || after > 0 && held.server.Changed <= after {
 			continue
 		}
 		server := *held.server
@@ -343,7 +343,7 @@
 	}
 	for name, held := range t.servers {
 		if !present[name] && held.lapsed.IsZero() {
-			t.lapse(now, held, version)
+			t.lapse(now, name, held, version)
 		}
 	}
 }
@@ -357,7 +357,7 @@
 		if held == nil || !held.lapsed.IsZero() {
 			return false
 		}
-		t.lapse(now, held, record.Changed)
+		t.lapse(now, record.Name, held, record.Changed)
 		return true
 	}
 	if record.Server == nil {
@@ -366,17 +366,17 @@
 	server := *record.Server
 	server.WarmAt = now.Add(server.Cold)
 	t.noteServer(held, &server)
-	t.servers[record.Name] = &tracked{name: record.Name, server: &server}
+	t.servers[record.Name] = &tracked{server: &server}
 	delete(t.gone, CookieOf(server.ID))
 	delete(t.removed.at, record.Name)
 	return true
 }
 
 // lapse notes that the record of a server is no longer there.
-func (t *Tracker) lapse(now time.Time, held *tracked, version Version) {
+func (t *Tracker) lapse(now time.Time, name string, held *tracked, version Version) {
 	held.lapsed = now
 	t.lapsed = true
-	t.removed.add(held.name, t.versions[Servers])
+	t.removed.add(name, t.versions[Servers])
 	t.noteAbout(ServerLapsed, held.server, version)
 }
 
--- a/entry/control.go
+++ b/entry/control.go
@@ -71,13 +71,14 @@
 	newer := a.Version > before
 	c.host.record(Event{Answer: &a})
 	changed := c.tracker.Take(c.host.network.Now(), a)
-	if newer && a.Whole {
+	if !newer || len(c.subscribers) == 0 {
+		return changed
+	}
+	if a.Whole {
 		a = c.tracker.Since(c.host.network.Now(), a.Source, before)
 	}
-	if newer {
-		for s := range c.subscribers {
-			c.pass(s, a)
-		}
+	for s := range c.subscribers {
+		c.pass(s, a)
 	}
 	return changed
 }
