Look for doubted hosts when members change, not at every event

The members were copied and sorted at each event of the control goroutine, also while nobody was dead: at 490 hosts a list of 490 for each message. Now when they have changed, and at each tick while a host of another data centre is dead.

--- a/control/doubt.go
+++ b/control/doubt.go
@@ -19,6 +19,19 @@
 	dead    map[fleet.HostID]time.Time // last seen dead
 	version uint64                     // of hosts
 	hosts   []fleet.HostID             // sorted
+	// members is the version of the members that were last observed, at seen.
+	members uint64
+	seen    time.Time
+}
+
+// due reports whether to observe the members anew: when they have changed, and at
+// every tick while a host is dead or was so a moment ago.
+func (d *doubts) due(now time.Time, members uint64) bool {
+	if members == d.members && (len(d.dead) == 0 || now.Sub(d.seen) < TickInterval) {
+		return false
+	}
+	d.members, d.seen = members, now
+	return true
 }
 
 // observe takes the members as they are now, sorted by ID.
--- a/control/refresh.go
+++ b/control/refresh.go
@@ -46,7 +46,9 @@
 		out.add(sent(c.servers.Install(now, c.serverView(now, revised.Set))))
 	}
 	out.add(c.refreshKeys(now, revised.Set, fresh || members != c.installed.members))
-	c.doubts.observe(now, c.options.Self.DataCentre, c.members.Members())
+	if c.doubts.due(now, members) {
+		c.doubts.observe(now, c.options.Self.DataCentre, c.members.Members())
+	}
 	records := c.servers.Digest()
 	state := membership.State{Revision: revised.Revision, Digest: records ^ stage*stageFactor}
 	c.members.SetLocal(now, state)
