Keep no old catalogue for the share of a cold server; one way to start hosts blind

A host remembered its share of a cold server with the pool that it was worked out from. As each catalogue has servers of its own, each such server could hold an older catalogue in memory until it ended. The number of the catalogue is enough.

In the stand-in two troubles that kill hosts while the store is away were one with other hosts and times, and six places wrote out Harm.

--- a/catalogue/catalogue.go
+++ b/catalogue/catalogue.go
@@ -45,6 +45,9 @@
 
 // Pool holds the servers of a service that may get new flows.
 type Pool struct {
+	// Catalogue is the number of the catalogue that the pool belongs to.
+	Catalogue uint64
+
 	All    []*Server
 	Places map[fleet.DataCentreID][]*Server
 	// ColdRate is how many flows a second a cold one of them bears; zero if the
@@ -68,9 +71,10 @@
 	pool := c.pools[server.Service]
 	if pool == nil {
 		pool = &Pool{
-			Places:   make(map[fleet.DataCentreID][]*Server),
-			ColdRate: c.Service(server.Service).ColdRate,
-			Hosts:    c.hostIDs,
+			Catalogue: c.Number,
+			Places:    make(map[fleet.DataCentreID][]*Server),
+			ColdRate:  c.Service(server.Service).ColdRate,
+			Hosts:     c.hostIDs,
 		}
 		c.pools[server.Service] = pool
 	}
--- a/placement/colds.go
+++ b/placement/colds.go
@@ -45,12 +45,12 @@
 	shares map[catalogue.Cookie]coldShare
 }
 
-// coldShare is how many flows a second this host may open on a cold server, as
-// long as the pool is the same.
+// coldShare is how many flows a second this host may open on a cold server, by one
+// catalogue.
 type coldShare struct {
-	pool  *catalogue.Pool
-	bound ColdBound
-	flows int
+	catalogue uint64
+	bound     ColdBound
+	flows     int
 }
 
 // Allow reports whether this host may open a flow on a cold server now. Without a
@@ -96,14 +96,14 @@
 // share returns how many flows a second this host may open.
 func (c *Colds) share(pool *catalogue.Pool, server catalogue.Cookie) int {
 	known, ok := c.shares[server]
-	if ok && known.pool == pool && known.bound == c.Bound {
+	if ok && known.catalogue == pool.Catalogue && known.bound == c.Bound {
 		return known.flows
 	}
 	if c.shares == nil {
 		c.shares = make(map[catalogue.Cookie]coldShare)
 	}
 	flows := c.divide(pool, server)
-	c.shares[server] = coldShare{pool, c.Bound, flows}
+	c.shares[server] = coldShare{pool.Catalogue, c.Bound, flows}
 	return flows
 }
 
--- a/platformstandin/trouble.go
+++ b/platformstandin/trouble.go
@@ -37,8 +37,12 @@
 		{"store_forgets", "the store drops its history while targets leave", (*Site).storeForgets},
 		{"store_refuses_hosts", "the store turns one host in three away", (*Site).storeRefusesHosts},
 		{"records_lapse", "records lapse while the store is away, and come back", (*Site).recordsLapse},
-		{"hosts_start_blind", "hosts are killed while the store is away", (*Site).hostsStartBlind},
-		{"seeds_start_blind", "the hosts that others ask first are killed while the store is away", (*Site).seedsStartBlind},
+		{"hosts_start_blind", "hosts are killed while the store is away", func(s *Site) {
+			s.startBlind(s.hosts[len(s.hosts)/2:], troubleTime)
+		}},
+		{"seeds_start_blind", "the hosts that others ask first are killed while the store is away", func(s *Site) {
+			s.startBlind(s.hosts[:len(s.hosts)-1], 2*time.Second)
+		}},
 	}
 }
 
@@ -146,13 +150,13 @@
 
 func (s *Site) killHosts() {
 	time.Sleep(3 * time.Second)
-	s.kill(0)
+	s.kill(s.hosts)
 	time.Sleep(time.Second)
 	s.restart()
 }
 
-func (s *Site) kill(from int) {
-	for _, node := range s.hosts[from:] {
+func (s *Site) kill(nodes []*Node) {
+	for _, node := range nodes {
 		s.RunOf(node).Kill()
 	}
 }
@@ -263,7 +267,7 @@
 
 func (s *Site) storeFails(f Faults) {
 	time.Sleep(3 * time.Second)
-	s.locked(func() { s.storeHarmed = time.Now() })
+	s.Harm()
 	s.Store.SetFaults(f)
 	s.release(0, 1)
 	time.Sleep(troubleTime)
@@ -272,14 +276,14 @@
 
 func (s *Site) storeForgets() {
 	time.Sleep(3 * time.Second)
-	s.locked(func() { s.storeHarmed = time.Now() })
+	s.Harm()
 	s.release(0, 1)
 	s.Store.Forget()
 }
 
 func (s *Site) storeRefusesHosts() {
 	time.Sleep(3 * time.Second)
-	s.locked(func() { s.storeHarmed = time.Now() })
+	s.Harm()
 	for i, node := range s.hosts {
 		if i%3 == 0 {
 			s.Store.Refuse(node.Name, Faults{Outage: Many})
@@ -296,7 +300,7 @@
 // are back a second after it is.
 func (s *Site) recordsLapse() {
 	time.Sleep(3 * time.Second)
-	s.locked(func() { s.storeHarmed = time.Now() })
+	s.Harm()
 	s.Store.SetFaults(Faults{Outage: Silent})
 	time.Sleep(troubleTime)
 	var lapsed []*Target
@@ -310,29 +314,17 @@
 	// Targets find their records missing at their next heartbeat.
 }
 
-func (s *Site) hostsStartBlind() {
+// startBlind kills hosts while the store is away, and has it back a while after they
+// have started again.
+func (s *Site) startBlind(nodes []*Node, away time.Duration) {
 	time.Sleep(3 * time.Second)
-	s.locked(func() { s.storeHarmed = time.Now() })
+	s.Harm()
 	s.Store.SetFaults(Faults{Outage: Silent})
 	time.Sleep(time.Second)
-	s.kill(len(s.hosts) / 2)
+	s.kill(nodes)
 	time.Sleep(500 * time.Millisecond)
 	s.restart()
-	time.Sleep(troubleTime)
-	s.Store.SetFaults(Faults{})
-}
-
-func (s *Site) seedsStartBlind() {
-	time.Sleep(3 * time.Second)
-	s.locked(func() { s.storeHarmed = time.Now() })
-	s.Store.SetFaults(Faults{Outage: Silent})
-	time.Sleep(time.Second)
-	for _, node := range s.hosts[:len(s.hosts)-1] {
-		s.RunOf(node).Kill()
-	}
-	time.Sleep(500 * time.Millisecond)
-	s.restart()
-	time.Sleep(2 * time.Second)
+	time.Sleep(away)
 	s.Store.SetFaults(Faults{})
 }
 
