--- a/entry/export_test.go
+++ b/entry/export_test.go
@@ -40,15 +40,21 @@
 	h.probeServer(ctx, h.snapshot.Load().catalogue.Server(catalogue.CookieOf(server.ID)))
 }
 
+// runControl runs a control loop until ctx ends.
+func runControl(ctx context.Context, network Network) *Host {
+	h := &Host{network: network, metrics: newMetrics(), joins: make(chan subscription), answers: make(chan []catalogue.Answer), ready: make(chan struct{})}
+	h.log.Logger = hclog.NewNullLogger()
+	h.snapshot.Store(&snapshot{})
+	go func() { _ = (&control{host: h}).run(ctx) }()
+	return h
+}
+
 // TakeFirst runs a control loop that takes in one answer, and reports whether it
 // lives on.
 func TakeFirst(ctx context.Context, network Network, answer catalogue.Answer) bool {
-	h := Host{network: network, metrics: newMetrics(), joins: make(chan subscription), answers: make(chan []catalogue.Answer), ready: make(chan struct{})}
-	h.log.Logger = hclog.NewNullLogger()
-	h.snapshot.Store(&snapshot{})
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go func() { _ = (&control{host: &h}).run(ctx) }()
+	h := runControl(ctx, network)
 	h.answers <- []catalogue.Answer{answer}
 	return h.subscribe(ctx, subscription{subscriber: &subscriber{drop: cancel}})
 }
@@ -56,12 +62,9 @@
 // FedAfterLeaving lets another host join and leave a feed, and returns how many
 // answers it is handed afterwards.
 func FedAfterLeaving(ctx context.Context, network Network, answer catalogue.Answer) int {
-	h := Host{network: network, metrics: newMetrics(), joins: make(chan subscription), answers: make(chan []catalogue.Answer), ready: make(chan struct{})}
-	h.log.Logger = hclog.NewNullLogger()
-	h.snapshot.Store(&snapshot{})
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go func() { _ = (&control{host: &h}).run(ctx) }()
+	h := runControl(ctx, network)
 	s := &subscriber{answers: make(chan catalogue.Answer, feedQueue), drop: cancel}
 	h.subscribe(ctx, subscription{subscriber: s})
 	h.subscribe(ctx, subscription{subscriber: s, leaves: true})
--- a/entry/janitor.go
+++ b/entry/janitor.go
@@ -30,25 +30,18 @@
 // for them. One that is fed by another leaves it to that one.
 func (j *janitor) run(ctx context.Context) error {
 	j.failing = make(map[fleet.HostID]time.Time)
-	tick := time.NewTicker(janitorPause)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tick.C:
-		}
+	return every(ctx, janitorPause, func() {
 		h := j.host
 		if h.fedUntil.Load() > h.network.Now().UnixNano() || h.storeLost.Load() {
 			clear(j.failing)
-			continue
+			return
 		}
 		for _, other := range h.snapshot.Load().catalogue.Hosts() {
 			if other.DataCentre == h.Settings.DataCentre && other.ID != h.Settings.Host {
 				j.look(ctx, other)
 			}
 		}
-	}
+	})
 }
 
 // look removes the record of a host that has long not been reached.
--- a/entry/registrar.go
+++ b/entry/registrar.go
@@ -18,22 +18,28 @@
 // register writes the record by which other hosts find this one, unless it is
 // there already. It costs no call at a restart.
 func (h *Host) register(ctx context.Context, store *platform.Store) error {
-	tick := time.NewTicker(registerPause)
+	return every(ctx, registerPause, func() {
+		known := h.snapshot.Load()
+		if known.versions[catalogue.Hosts] == 0 || registered(known.catalogue.Hosts(), h.self()) {
+			return
+		}
+		calling, cancel := context.WithTimeout(ctx, registerTimeout)
+		defer cancel()
+		h.log.Line("registered", "error", store.Register(calling, h.self()))
+	})
+}
+
+// every does something after each pause until ctx ends.
+func every(ctx context.Context, pause time.Duration, do func()) error {
+	tick := time.NewTicker(pause)
 	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-tick.C:
+			do()
 		}
-		known := h.snapshot.Load()
-		if known.versions[catalogue.Hosts] == 0 || registered(known.catalogue.Hosts(), h.self()) {
-			continue
-		}
-		calling, cancel := context.WithTimeout(ctx, registerTimeout)
-		err := store.Register(calling, h.self())
-		cancel()
-		h.log.Line("registered", "error", err)
 	}
 }
 
--- a/flow/inquiry.go
+++ b/flow/inquiry.go
@@ -40,7 +40,7 @@
 	if i >= 0 {
 		return d.awaits(i)
 	}
-	if len(f.inquiries) >= openInquiries || !d.router.questions.add(flowOf(d)) {
+	if len(f.inquiries) >= openInquiries || !d.router.questions.add(copiedFlow{d.hash, d.view.index}) {
 		return false
 	}
 	f.inquiries = append(f.inquiries, inquiry{d.hash, d.now})
@@ -71,8 +71,6 @@
 	return false
 }
 
-func flowOf(d *decider) copiedFlow { return copiedFlow{d.hash, d.view.index} }
-
 // expireInquiries drops those whose flows send nothing more.
 func (f *slotFlows) expireInquiries(now time.Time) {
 	f.inquiries = slices.DeleteFunc(f.inquiries, func(q inquiry) bool {
--- a/flow/router.go
+++ b/flow/router.go
@@ -93,7 +93,7 @@
 	sweepAt int
 }
 
-// copiedFlow is a recorded flow that waits to be copied.
+// copiedFlow is a flow that waits to be copied, or to be asked about.
 type copiedFlow struct {
 	hash    uint64
 	service uint16
