Probe a witness beside a server that does not answer

Cause: a host whose own link or processor is held up found three connections to a server unanswered, called it unreachable and reset its flows.

Ruled out: longer times of the probe, since a link can be held up for any time; trusting the host's own timers, since packets wait in the link while timers are in time.

Change: silence is proof only if another server, of the own or another data centre, answers a connection tried in the same span, and if no caller has acknowledged data of the server since the probe began (a full queue of connections looks silent too). A refusal still proves by itself. The first packet of a flow that another host has placed is no longer taken for an answer, which cleared suspicions of silent servers.

Traces keep their stated outcomes; their probes name the evidence.

--- a/entry/event.go
+++ b/entry/event.go
@@ -32,11 +32,10 @@
 	Decision  forwarding.Decision
 }
 
-// ProbeEvent is the result of a probe, and how many flows were reset for it.
+// ProbeEvent is a finished probe, and how many flows were reset for it.
 type ProbeEvent struct {
-	Server    catalogue.Cookie
-	Reachable bool
-	Flows     int
+	forwarding.Probe
+	Flows int
 }
 
 // record hands an event to whoever records the host. The caller holds mu where
--- a/entry/export_test.go
+++ b/entry/export_test.go
@@ -6,6 +6,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/rattanthread/rattanthread/catalogue"
+	"github.com/rattanthread/rattanthread/placement"
 )
 
 // Watcher looks at a settings file when a test says so.
@@ -22,11 +23,11 @@
 // Changed returns the settings that were passed on.
 func (w *Watcher) Changed() <-chan Settings { return w.w.changed }
 
-// Accepts probes a server over a network.
-func Accepts(ctx context.Context, network Network, server *catalogue.Server) bool {
+// Ask probes a server over a network beside witnesses.
+func Ask(ctx context.Context, network Network, server *catalogue.Server, witnesses ...*catalogue.Server) placement.Evidence {
 	h := Host{network: network}
 	h.snapshot.Store(&snapshot{})
-	return h.accepts(ctx, server, probeAttempts)
+	return h.ask(ctx, server, witnesses, probeAttempts)
 }
 
 // Probe probes a server until it is reachable.
--- a/entry/probe.go
+++ b/entry/probe.go
@@ -9,6 +9,7 @@
 	"github.com/rattanthread/rattanthread/catalogue"
 	"github.com/rattanthread/rattanthread/fleet"
 	"github.com/rattanthread/rattanthread/forwarding"
+	"github.com/rattanthread/rattanthread/placement"
 )
 
 const (
@@ -27,6 +28,8 @@
 	maxProbeTime = probeTime + 3*probeGap
 	// probePause is the time between probes of a server that is unreachable.
 	probePause = time.Second
+	// unclearPause is the time until a first probe that has shown nothing is made again.
+	unclearPause = 200 * time.Millisecond
 )
 
 // probe finds out whether servers that do not answer have ended.
@@ -43,33 +46,29 @@
 
 // probeServer probes a server until it accepts a connection or its record ends.
 func (h *Host) probeServer(ctx context.Context, server *catalogue.Server) {
-	attempts := probeAttempts
+	attempts, pause := probeAttempts, unclearPause
 	for {
-		start := h.network.Now()
-		reachable := h.accepts(ctx, server, attempts)
+		p := forwarding.Probe{Server: server.Cookie, Began: h.network.Now()}
+		p.Found = h.ask(ctx, server, h.witnesses(server, attempts), attempts)
 		if ctx.Err() != nil {
 			return
 		}
-		if took := h.network.Now().Sub(start); !reachable && took > maxProbeTime {
-			h.log.Line("probe_void", "server", server.ID, "took_ms", took.Milliseconds())
-			continue
+		if took := h.network.Now().Sub(p.Began); p.Found == placement.Silent && took > maxProbeTime {
+			p.Found = placement.Unclear
 		}
-		h.mu.Lock()
-		flows, also := h.forwarder.Probed(h.network.Now(), h.snapshot.Load().catalogue, server.Cookie, reachable)
-		h.record(Event{Probe: &ProbeEvent{Server: server.Cookie, Reachable: reachable, Flows: len(flows)}})
-		h.mu.Unlock()
-		h.countProbe(server, reachable, len(flows))
-		h.askProbes(also)
-		h.resetFlows(flows, server.ID, forwarding.ServerUnreachable)
-		if reachable {
+		unreachable := h.probed(server, p)
+		if p.Found == placement.Accepted {
 			return
 		}
-		attempts = 1
+		if unreachable {
+			attempts, pause = 1, probePause
+		}
 		select {
-		case <-time.After(probePause):
+		case <-time.After(pause):
 		case <-ctx.Done():
 			return
 		}
+		pause = probePause
 		if h.snapshot.Load().catalogue.Server(server.Cookie) == nil {
 			h.mu.Lock()
 			h.forwarder.Chooser.Reach.Forget(server.Cookie)
@@ -79,6 +78,31 @@
 	}
 }
 
+// witnesses returns the servers to probe beside one whose state is not known yet.
+func (h *Host) witnesses(server *catalogue.Server, attempts int) []*catalogue.Server {
+	if attempts == 1 {
+		return nil
+	}
+	pool := h.snapshot.Load().catalogue.Pool(server.Service)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.forwarder.Chooser.Witnesses(pool, server, uint64(h.network.Now().UnixNano()))
+}
+
+// probed acts on a finished probe, and reports whether its server is unreachable.
+func (h *Host) probed(server *catalogue.Server, p forwarding.Probe) bool {
+	h.mu.Lock()
+	flows, also := h.forwarder.Probed(h.network.Now(), h.snapshot.Load().catalogue, p)
+	unreachable := h.forwarder.Chooser.Reach.Unreachable(server.Cookie)
+	h.record(Event{Probe: &ProbeEvent{Probe: p, Flows: len(flows)}})
+	h.mu.Unlock()
+	h.metrics.probes.WithLabelValues(p.Found.String()).Inc()
+	h.log.Line("server_probed", "server", server.ID, "result", p.Found.String(), "unreachable", unreachable, "flows", len(flows))
+	h.askProbes(also)
+	h.resetFlows(flows, server.ID, forwarding.ServerUnreachable)
+	return unreachable
+}
+
 // askProbes asks for probes. Those for which there is no room are left out.
 func (h *Host) askProbes(servers []*catalogue.Server) {
 	for _, server := range servers {
@@ -92,76 +116,90 @@
 	}
 }
 
-func (h *Host) countProbe(server *catalogue.Server, reachable bool, flows int) {
-	result := "accepted"
-	if !reachable {
-		result = "unreachable"
-	}
-	h.metrics.probes.WithLabelValues(result).Inc()
-	h.log.Line("server_probed", "server", server.ID, "result", result, "flows", flows)
-}
-
-// accepts reports whether a server accepts a connection. Several are tried, as
-// one packet may be lost; a host that refuses two has no server. One on which
-// another server answers, to which the address has gone, has not either.
-func (h *Host) accepts(ctx context.Context, server *catalogue.Server, attempts int) bool {
+// ask tries connections to a server. Several are tried, as one packet may be lost;
+// a host that refuses two has no server. One on which another server answers, to
+// which the address has gone, has not either. With the last try the witnesses are
+// asked as well: without an answer of theirs, silence shows nothing.
+func (h *Host) ask(ctx context.Context, server *catalogue.Server, witnesses []*catalogue.Server, attempts int) placement.Evidence {
 	ctx, cancel := context.WithTimeout(ctx, probeTime)
 	defer cancel()
-	path := h.snapshot.Load().catalogue.Service(server.Service).HealthPath
-	results := make(chan probeResult, attempts)
+	results := make(chan probeResult, attempts+len(witnesses))
 	next := time.NewTicker(probeGap)
 	defer next.Stop()
-	tried, refused := 0, 0
+	tried, refused, witnessed := 0, 0, len(witnesses) == 0 && attempts == 1
 	try := func() {
-		if tried < attempts {
-			tried++
-			go func() {
-				id, err := h.network.Identify(ctx, server.Address, path)
-				results <- probeResult{id, err}
-			}()
+		if tried == attempts {
+			return
+		}
+		tried++
+		go h.identify(ctx, server, false, results)
+		if tried == attempts {
+			for _, witness := range witnesses {
+				go h.identify(ctx, witness, true, results)
+			}
 		}
 	}
 	try()
 	for {
 		select {
 		case r := <-results:
-			if r.err == nil {
-				return r.id == "" || r.id == server.ID
-			}
-			if errors.Is(r.err, syscall.ECONNREFUSED) || errors.Is(r.err, syscall.ECONNRESET) {
+			switch {
+			case r.witness:
+				witnessed = witnessed || r.err == nil || r.refused()
+			case r.err == nil && (r.id == "" || r.id == server.ID):
+				return placement.Accepted
+			case r.err == nil:
+				return placement.Refused
+			case r.refused():
 				refused++
+				if refused == min(maxRefused, attempts) {
+					return placement.Refused
+				}
+				try()
 			}
-			if refused == min(maxRefused, attempts) {
-				return false
-			}
-			try()
 		case <-next.C:
 			try()
 		case <-ctx.Done():
-			return h.acceptedLate(results)
+			return h.askedLate(results, witnessed)
 		}
 	}
 }
 
-// probeResult is who answered a probe, if a connection was accepted.
+// identify makes one attempt of a probe.
+func (h *Host) identify(ctx context.Context, server *catalogue.Server, witness bool, results chan<- probeResult) {
+	path := h.snapshot.Load().catalogue.Service(server.Service).HealthPath
+	id, err := h.network.Identify(ctx, server.Address, path)
+	results <- probeResult{witness: witness, id: id, err: err}
+}
+
+// probeResult is who answered an attempt of a probe, if a connection was accepted.
 type probeResult struct {
-	id  fleet.ServerID
-	err error
+	witness bool
+	id      fleet.ServerID
+	err     error
 }
 
-// acceptedLate waits for the probes that were cut off by the end of their time:
+func (r probeResult) refused() bool {
+	return errors.Is(r.err, syscall.ECONNREFUSED) || errors.Is(r.err, syscall.ECONNRESET)
+}
+
+// askedLate waits for the attempts that were cut off by the end of their time:
 // one that was accepted and not answered shows a server that is alive and slow.
-func (h *Host) acceptedLate(results <-chan probeResult) bool {
+func (h *Host) askedLate(results <-chan probeResult, witnessed bool) placement.Evidence {
 	timer := time.NewTimer(probeGap)
 	defer timer.Stop()
 	for {
 		select {
 		case r := <-results:
-			if r.err == nil {
-				return true
+			if r.err == nil && !r.witness {
+				return placement.Accepted
 			}
+			witnessed = witnessed || r.err == nil
 		case <-timer.C:
-			return false
+			if witnessed {
+				return placement.Silent
+			}
+			return placement.Unclear
 		}
 	}
 }
--- a/forwarding/flows.go
+++ b/forwarding/flows.go
@@ -130,6 +130,8 @@
 	next := flowState{server: server, seq: p.Seq, ack: p.Ack, length: p.Length, sent: now, asked: before.asked}
 	sign, took := NoSign, time.Duration(0)
 	switch {
+	case before.server == 0:
+		f.completed(key)
 	case before.opening || before.server != server:
 		sign = Answer
 		f.completed(key)
--- a/forwarding/flows_test.go
+++ b/forwarding/flows_test.go
@@ -83,3 +83,19 @@
 	_, took = f.Seen(now.Add(260*time.Millisecond), &p, 3)
 	is.Equal(took, time.Duration(0))
 }
+
+// TestUnknownFlowShowsNothing is the load of flows that the fabric moves to another
+// host while their server is silent: what they send again is no sign of life.
+func TestUnknownFlowShowsNothing(t *testing.T) {
+	is := is.New(t)
+	var f forwarding.Flows
+	p := opening()
+	p.Kind, p.Seq, p.Ack, p.Length = forwarding.Segment, 100, 5, 200
+	sign, _ := f.Seen(start, &p, 3)
+	is.Equal(sign, forwarding.NoSign)
+	sign, _ = f.Seen(start.Add(200*time.Millisecond), &p, 3)
+	is.Equal(sign, forwarding.Repetition)
+	p.Ack = 6
+	sign, _ = f.Seen(start.Add(210*time.Millisecond), &p, 3)
+	is.Equal(sign, forwarding.Answer)
+}
--- a/forwarding/forwarder.go
+++ b/forwarding/forwarder.go
@@ -215,6 +215,7 @@
 	case Repetition:
 		f.repeated(now, c, cookie, &d)
 	case Answer:
+		f.Chooser.Reach.Answered(now, cookie)
 		if f.Chooser.Suspects.Answered(now, cookie) {
 			d.Cleared = cookie
 		}
@@ -238,16 +239,23 @@
 	}
 }
 
-// Probed takes in whether a server accepts connections. If it has turned out not
-// to, it returns a packet of each flow to reset, and the servers that may have
-// ended with it and should be probed now.
-func (f *Forwarder) Probed(now time.Time, c *catalogue.Catalogue, cookie catalogue.Cookie, reachable bool) ([]Packet, []*catalogue.Server) {
-	if !f.Chooser.Reach.Probed(cookie, reachable) {
+// Probe is a finished probe of a server.
+type Probe struct {
+	Server catalogue.Cookie
+	Began  time.Time
+	Found  placement.Evidence
+}
+
+// Probed takes in what a probe has found. If its server has turned out to accept no
+// connections, it returns a packet of each flow to reset, and the servers that may
+// have ended with it and should be probed now.
+func (f *Forwarder) Probed(now time.Time, c *catalogue.Catalogue, p Probe) ([]Packet, []*catalogue.Server) {
+	if !f.Chooser.Reach.Probed(p.Began, p.Server, p.Found) {
 		return nil, nil
 	}
-	server := c.Server(cookie)
+	server := c.Server(p.Server)
 	if server == nil || !f.Chooser.Outages.Ended(now, server.DataCentre) {
-		return f.flows.Ended(cookie), nil
+		return f.flows.Ended(p.Server), nil
 	}
 	var also []*catalogue.Server
 	for _, other := range c.Pool(server.Service).Places[server.DataCentre] {
@@ -255,7 +263,7 @@
 			also = append(also, other)
 		}
 	}
-	return f.flows.Ended(cookie), also
+	return f.flows.Ended(p.Server), also
 }
 
 // Ended takes in that a server has ended. It returns a packet of each flow to
--- a/forwarding/forwarder_test.go
+++ b/forwarding/forwarder_test.go
@@ -191,7 +191,7 @@
 	is.Equal(repeated.Action, forwarding.Forward) // doubt alone resets nothing
 	is.Equal(repeated.Probe, placed.Server)
 
-	reset, _ := f.Probed(start, known, placed.Server.Cookie, false)
+	reset, _ := f.Probed(start, known, forwarding.Probe{Server: placed.Server.Cookie, Began: start, Found: placement.Silent})
 	is.Equal(len(reset), 1)
 	is.Equal(f.Decide(start.Add(time.Second), known, start, p).Reason, forwarding.ServerUnreachable)
 	is.True(f.Decide(start.Add(time.Second), known, start, opening()).Server != placed.Server)
@@ -207,7 +207,7 @@
 	for i := range 5 {
 		at := start.Add(time.Duration(i) * 200 * time.Millisecond)
 		is.Equal(f.Decide(at, known, start, p).Action, forwarding.Forward) // slow, but alive
-		reset, _ := f.Probed(at, known, placed.Server.Cookie, true)
+		reset, _ := f.Probed(at, known, forwarding.Probe{Server: placed.Server.Cookie, Began: at, Found: placement.Accepted})
 		is.Equal(len(reset), 0)
 	}
 }
@@ -290,7 +290,7 @@
 	f := newForwarder()
 	probed := 0
 	for _, id := range []fleet.ServerID{"i-01", "i-02", "i-03"} {
-		_, also := f.Probed(start, known, catalogue.CookieOf(id), false)
+		_, also := f.Probed(start, known, forwarding.Probe{Server: catalogue.CookieOf(id), Began: start, Found: placement.Silent})
 		probed += len(also)
 	}
 	is.Equal(probed, 3)
--- a/placement/chooser.go
+++ b/placement/chooser.go
@@ -133,6 +133,26 @@
 	return reasons
 }
 
+// Witnesses returns servers to probe beside one that does not answer: one of the
+// host's own data centre and one of another, as far as there are some in no doubt.
+// If none of them answers either, the host itself may be held up.
+func (c *Chooser) Witnesses(pool *catalogue.Pool, of *catalogue.Server, turn uint64) []*catalogue.Server {
+	var near, far *catalogue.Server
+	for _, server := range pool.All {
+		if server == of || c.Reach.Doubted(server.Cookie) {
+			continue
+		}
+		best := &far
+		if server.DataCentre == c.DataCentre {
+			best = &near
+		}
+		if *best == nil || score(turn, server.Cookie) > score(turn, (*best).Cookie) {
+			*best = server
+		}
+	}
+	return slices.DeleteFunc([]*catalogue.Server{near, far}, func(s *catalogue.Server) bool { return s == nil })
+}
+
 // Opened notes that a new flow goes to a server that Choose has returned.
 func (c *Chooser) Opened(now time.Time, pool *catalogue.Pool, server *catalogue.Server) {
 	if server.IsCold(now) {
--- a/placement/reach.go
+++ b/placement/reach.go
@@ -1,53 +1,78 @@
 package placement
 
-import "github.com/rattanthread/rattanthread/catalogue"
+import (
+	"time"
+
+	"github.com/rattanthread/rattanthread/catalogue"
+)
 
 // Reach holds the servers that are in doubt because a packet to them was
 // repeated, and those that accept no connection. The zero value is ready for
 // use. It belongs to one goroutine.
 type Reach struct {
-	servers map[catalogue.Cookie]reachState
+	servers map[catalogue.Cookie]doubt
 }
 
-type reachState int
-
-const (
-	stateProbing reachState = iota + 1
-	stateUnreachable
-)
+// doubt is what is known of a server that is being probed.
+type doubt struct {
+	unreachable bool
+	// answered is when a caller last acknowledged data of the server.
+	answered time.Time
+}
 
 // Doubt notes a sign that a server may have ended. It reports whether the
 // server should be probed now.
 func (r *Reach) Doubt(server catalogue.Cookie) bool {
-	if r.servers[server] != 0 {
+	if _, doubted := r.servers[server]; doubted {
 		return false
 	}
-	if r.servers == nil {
-		r.servers = make(map[catalogue.Cookie]reachState)
-	}
-	r.servers[server] = stateProbing
+	r.put(server, doubt{})
 	return true
 }
 
-// Probed takes in what a probe found. It reports whether the server has just
-// become unreachable.
-func (r *Reach) Probed(server catalogue.Cookie, reachable bool) bool {
-	before := r.servers[server]
-	if reachable {
+// Answered notes that a caller has acknowledged data of a server, which shows that
+// a probe without an answer was lost or had to wait.
+func (r *Reach) Answered(now time.Time, server catalogue.Cookie) {
+	if held, doubted := r.servers[server]; doubted {
+		held.answered = now
+		r.servers[server] = held
+	}
+}
+
+// Probed takes in what a probe that began at a time has found. It reports whether
+// the server has just become unreachable.
+func (r *Reach) Probed(began time.Time, server catalogue.Cookie, found Evidence) bool {
+	held := r.servers[server]
+	if found == Silent && !held.unreachable && !held.answered.Before(began) {
+		found = Unclear
+	}
+	switch found {
+	case Accepted:
 		delete(r.servers, server)
 		return false
+	case Unclear:
+		return false
+	case Refused, Silent:
 	}
+	r.put(server, doubt{unreachable: true})
+	return !held.unreachable
+}
+
+func (r *Reach) put(server catalogue.Cookie, held doubt) {
 	if r.servers == nil {
-		r.servers = make(map[catalogue.Cookie]reachState)
+		r.servers = make(map[catalogue.Cookie]doubt)
 	}
-	r.servers[server] = stateUnreachable
-	return before != stateUnreachable
+	r.servers[server] = held
 }
 
 // Forget drops what is known of a server that has ended.
 func (r *Reach) Forget(server catalogue.Cookie) { delete(r.servers, server) }
 
-// Unreachable reports whether a server accepts no connection.
-func (r *Reach) Unreachable(server catalogue.Cookie) bool {
-	return r.servers[server] == stateUnreachable
+// Doubted reports whether a server is being probed.
+func (r *Reach) Doubted(server catalogue.Cookie) bool {
+	_, doubted := r.servers[server]
+	return doubted
 }
+
+// Unreachable reports whether a server accepts no connection.
+func (r *Reach) Unreachable(server catalogue.Cookie) bool { return r.servers[server].unreachable }
--- a/placement/suspects_test.go
+++ b/placement/suspects_test.go
@@ -44,14 +44,59 @@
 	const server = catalogue.Cookie(1)
 	is.True(r.Doubt(server))
 	is.True(!r.Doubt(server))
-	is.True(r.Probed(server, false))
+	is.True(r.Probed(start, server, placement.Silent))
 	is.True(r.Unreachable(server))
-	is.True(!r.Probed(server, false)) // known already
-	r.Probed(server, true)
+	is.True(!r.Probed(start, server, placement.Silent)) // known already
+	r.Probed(start, server, placement.Accepted)
 	is.True(!r.Unreachable(server))
 	is.True(r.Doubt(server))
 }
 
+// TestSilenceIsNoProof is the load of a host whose link or processor is held up, and
+// of a server whose queue of connections is full: no probe is answered, and callers
+// go on.
+func TestSilenceIsNoProof(t *testing.T) {
+	const server = catalogue.Cookie(1)
+	began, ended := start, start.Add(250*time.Millisecond)
+	tests := []struct {
+		name     string
+		answered time.Duration // after the probe began; 0 for never
+		found    placement.Evidence
+		want     bool
+	}{
+		{"another server answers", 0, placement.Silent, true},
+		{"no other server answers", 0, placement.Unclear, false},
+		{"callers get answers meanwhile", 100 * time.Millisecond, placement.Silent, false},
+		{"callers got answers before", -time.Millisecond, placement.Silent, true},
+		{"the address refuses", 100 * time.Millisecond, placement.Refused, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			var r placement.Reach
+			r.Doubt(server)
+			if test.answered != 0 {
+				r.Answered(began.Add(test.answered), server)
+			}
+			is.Equal(r.Probed(began, server, test.found), test.want)
+			is.Equal(r.Unreachable(server), test.want)
+			is.True(!r.Doubt(server)) // it is probed on, or known
+			is.True(r.Probed(ended, server, placement.Refused) != test.want)
+		})
+	}
+}
+
+func TestEvidenceNames(t *testing.T) {
+	for _, e := range []placement.Evidence{placement.Unclear, placement.Accepted, placement.Refused, placement.Silent} {
+		is := is.New(t)
+		parsed, ok := placement.ParseEvidence(e.String())
+		is.True(ok)
+		is.Equal(parsed, e)
+	}
+	_, ok := placement.ParseEvidence("lost")
+	is.New(t).True(!ok)
+}
+
 func TestOutage(t *testing.T) {
 	is := is.New(t)
 	var o placement.Outages
--- a/platformstandin/host.go
+++ b/platformstandin/host.go
@@ -26,6 +26,8 @@
 	run    *Run
 	misses int
 	in     bool
+	// lag delays all that passes the machine's link, each way.
+	lag time.Duration
 }
 
 // Run is one run of an entry host. All fields must be set.
@@ -154,11 +156,35 @@
 	if p.dead() {
 		return net.ErrClosed
 	}
-	p.site.Sent(p.node.Zone, append([]byte(nil), datagram...), to)
+	sent := append([]byte(nil), datagram...)
+	if lag := p.site.lagOf(p.node); lag > 0 {
+		time.AfterFunc(lag, func() { p.site.Sent(p.node.Zone, sent, to) })
+		return nil
+	}
+	p.site.Sent(p.node.Zone, sent, to)
 	return nil
 }
 
+// crossLink waits as long as a message takes over the machine's link and back.
+func (p *process) crossLink(ctx context.Context) error {
+	lag := p.site.lagOf(p.node)
+	if lag == 0 {
+		return nil
+	}
+	timer := time.NewTimer(2 * lag)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 func (p *process) identify(ctx context.Context, to netip.AddrPort, _ string) (fleet.ServerID, error) {
+	if err := p.crossLink(ctx); err != nil {
+		return "", err
+	}
 	id, state := p.site.occupant(p.node.Zone, to)
 	switch state {
 	case Running, Draining:
@@ -177,6 +203,9 @@
 // RoundTrip makes a call, or hangs.
 func (t storePath) RoundTrip(r *http.Request) (*http.Response, error) {
 	s := t.process.site
+	if err := t.process.crossLink(r.Context()); err != nil {
+		return nil, err
+	}
 	if t.process.dead() || s.isCut(t.process.node.Zone, "") {
 		<-r.Context().Done()
 		return nil, r.Context().Err()
@@ -186,6 +215,9 @@
 
 // dialFeed opens a stream to the process at an address.
 func (p *process) dialFeed(ctx context.Context, to netip.AddrPort) (*entry.Stream, error) {
+	if err := p.crossLink(ctx); err != nil {
+		return nil, err
+	}
 	peer := p.site.peerAt(p.node.Zone, to)
 	if peer == nil || p.dead() {
 		<-ctx.Done()
--- a/platformstandin/site.go
+++ b/platformstandin/site.go
@@ -313,7 +313,7 @@
 		return
 	}
 	run, packet := node.run, p.encode()
-	s.after(clientDelay, func() { run.Deliver(packet) })
+	s.after(clientDelay+node.lag, func() { run.Deliver(packet) })
 }
 
 // pick hashes a flow over the hosts in rotation of a zone, all of the zone's if
@@ -455,6 +455,13 @@
 	return fleet.ServerID(t.ID), t.state
 }
 
+// lagOf returns how long the link of a machine delays what passes it.
+func (s *Site) lagOf(node *Node) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return node.lag
+}
+
 // peerAt returns the process that accepts hosts at an address, or nil.
 func (s *Site) peerAt(zone string, address netip.AddrPort) *process {
 	s.mu.Lock()
--- a/platformstandin/trouble.go
+++ b/platformstandin/trouble.go
@@ -28,6 +28,7 @@
 		{"stop_hosts", "each host is stopped and started in turn", (*Site).rollHosts},
 		{"kill_hosts", "all hosts are killed at once", (*Site).killHosts},
 		{"cut_zone", "a zone is cut off from all others and from the store", (*Site).cutZone},
+		{"host_held_up", "all that passes a host's link is late", (*Site).holdUpHost},
 		{"store_busy", "the store answers 503, targets leave meanwhile", func(s *Site) { s.storeFails(Faults{Outage: Busy}) }},
 		{"store_many", "the store answers 429", func(s *Site) { s.storeFails(Faults{Outage: Many}) }},
 		{"store_silent", "the store does not answer", func(s *Site) { s.storeFails(Faults{Outage: Silent}) }},
@@ -179,6 +180,17 @@
 	})
 }
 
+// heldUpTime is by how much the link of a host that is held up delays a packet.
+const heldUpTime = 250 * time.Millisecond
+
+// holdUpHost delays what one host sends and receives. Its targets are well.
+func (s *Site) holdUpHost() {
+	time.Sleep(3 * time.Second)
+	s.locked(func() { s.hosts[0].lag = heldUpTime })
+	time.Sleep(troubleTime)
+	s.locked(func() { s.hosts[0].lag = 0 })
+}
+
 // calmTime is how long after the last harm the bounds hold again.
 const calmTime = 8 * time.Second
 
--- a/replay/entryhost.go
+++ b/replay/entryhost.go
@@ -33,8 +33,9 @@
 	Published bool             `json:"published,omitempty"`
 	Packet    *EntryPacket     `json:"packet,omitempty"`
 	Probed    catalogue.Cookie `json:"probed,omitempty"`
-	Reachable bool             `json:"reachable,omitempty"`
-	Ended     catalogue.Cookie `json:"ended,omitempty"`
+	// Found is what a probe that began at Asked has found.
+	Found string           `json:"found,omitempty"`
+	Ended catalogue.Cookie `json:"ended,omitempty"`
 	// Outcome is what the host decided.
 	Outcome string `json:"outcome,omitempty"`
 }
@@ -114,7 +115,7 @@
 		}
 		line.Outcome = outcome(e.Packet.Decision)
 	case e.Probe != nil:
-		line.Probed, line.Reachable = e.Probe.Server, e.Probe.Reachable
+		line.Probed, line.Found, line.Asked = e.Probe.Server, e.Probe.Found.String(), r.since(e.Probe.Began)
 		line.Outcome = flowsOutcome(e.Probe.Flows)
 	}
 	return line, nil
@@ -203,7 +204,11 @@
 			Seq: p.Seq, Ack: p.Ack, Length: p.Length,
 		})), nil
 	case e.Probed != 0:
-		flows, _ := r.forwarder.Probed(r.at(e.At), r.known, e.Probed, e.Reachable)
+		found, ok := placement.ParseEvidence(e.Found)
+		if !ok {
+			return "", errors.Errorf("found: unknown evidence %q", e.Found)
+		}
+		flows, _ := r.forwarder.Probed(r.at(e.At), r.known, forwarding.Probe{Server: e.Probed, Began: r.at(e.Asked), Found: found})
 		return flowsOutcome(len(flows)), nil
 	case e.Ended != 0:
 		r.forwarder.Ended(e.Ended)
