Read the signs of a server from uploads

Cause: a caller that sends 80 kB has 16 packets under way. Of a silent server it sends the oldest again, whose number is below the last one seen, and this was taken for an old copy: no suspicion, no probe, no reset until the caller's deadline. Its acknowledgements do not advance either, so a server that takes an upload showed no sign of life; and the time of an answer counted the whole transfer, which is longer to a server that is further away.

Ruled out: counting every old packet as repeated; a copy that the network delays past the answer must show nothing.

Change: packets that have certainly arrived (acknowledged by an answer, or more than 16 packets back) are old, other earlier ones are sent again; new data beyond the 16 is an answer; the time of an answer counts from the last packet of the request.

--- a/forwarding/flows.go
+++ b/forwarding/flows.go
@@ -94,6 +94,8 @@
 	opening  bool
 	server   catalogue.Cookie
 	seq, ack uint32
+	// received is up to where the server has certainly received the caller's data.
+	received uint32
 	length   int
 	sent     time.Time
 	// asked is when the request that waits for its answer was first sent; zero for none.
@@ -123,38 +125,77 @@
 }
 
 // Seen notes a packet of an open flow and returns what it shows. With the answer
-// to a request comes the time that it took.
+// to a request comes the time that it took, counted from the last of the request's
+// packets.
 func (f *Flows) Seen(now time.Time, p *Packet, server catalogue.Cookie) (Sign, time.Duration) {
 	key := keyOf(p)
 	before := f.take(key)
-	next := flowState{server: server, seq: p.Seq, ack: p.Ack, length: p.Length, sent: now, asked: before.asked}
+	next := flowState{
+		server: server, seq: p.Seq, ack: p.Ack, received: before.received, length: p.Length, sent: now, asked: before.asked,
+	}
 	sign, took := NoSign, time.Duration(0)
 	switch {
 	case before.server == 0:
+		next.received = p.Seq
 		f.completed(key)
 	case before.opening || before.server != server:
-		sign = Answer
+		sign, next.received = Answer, p.Seq
 		f.completed(key)
 	case int32(p.Ack-before.ack) > 0:
 		sign = Answer
+		next.received = later(before.received, before.seq+uint32(before.length))
 		if !before.asked.IsZero() {
 			took = now.Sub(before.asked)
 			next.asked = time.Time{}
 		}
-	case p.Length > 0 && before.length > 0 && p.Seq == before.seq:
+	case p.Length > 0 && before.length > 0 && before.resent(p):
 		if now.Sub(before.sent) >= repetitionGap {
 			sign = Repetition
+			before.sent = now
 		}
+		next = before
 	case int32(p.Seq-before.seq) < 0:
 		next = before
 	}
-	if p.Length > 0 && next.asked.IsZero() {
+	if next.receive(p) {
+		sign = Answer
+	}
+	if p.Length > 0 && (next.asked.IsZero() || int32(p.Seq-before.seq) > 0) {
 		next.asked = now
 	}
 	f.put(now, key, next)
 	return sign, took
 }
 
+// resent reports whether a packet has been sent before and may not have arrived.
+func (s *flowState) resent(p *Packet) bool {
+	return int32(p.Seq-s.seq) <= 0 && int32(p.Seq-s.received) >= 0
+}
+
+// later returns the later of two sequence numbers.
+func later(a, b uint32) uint32 {
+	if int32(b-a) > 0 {
+		return b
+	}
+	return a
+}
+
+// maxInFlight bounds the data of a caller that its server has not acknowledged, in
+// bytes: 16 packets of 1,200.
+const maxInFlight = 16 * 1200
+
+// receive notes what a packet shows of the data that the server has received, and
+// reports whether that is more than before. A server acknowledges a long request
+// without sending data, so the caller's acknowledgements show nothing.
+func (s *flowState) receive(p *Packet) bool {
+	received := p.Seq + uint32(p.Length) - maxInFlight
+	if int32(received-s.received) <= 0 {
+		return false
+	}
+	s.received = received
+	return true
+}
+
 // completed notes that a flow is open.
 func (f *Flows) completed(key flowKey) {
 	if f.attempts[key.caller()].flow == key {
