Settle what a host has found out by itself, and keep flows whose records died

Cause, from traces of the red cells of the fault matrix: - A host that finds a server failing lowers its admission before the keeper's record says so, and splits the server's slots alone. The state that other hosts acknowledge held only the records, so the split counted as settled at once, and its owner placed flows where others, by their tables, sent none (centres_cut_off, weight_change at 0.3 s: slot 1084 is split at a1 to a3 only, 0.8 s after the data centres met again; not tied to cuts). - A host that saw a whole handshake while it doubted others kept no record if the server was the agreed one, asked the others at the next packet, and believed a half-open record of an older copy of the opening packet. - A record younger than the copies (0.5 s) dies with its host. The new owner took the flow for one of the agreed server, which was out, and reset it.

Ruled out: leaving new flows on the agreed servers until hosts that were cut off have acknowledged a view; it changed no cell, as they acknowledge in 0.1 s. Counting the bounded wait anew from their return; leaving servers got new work.

Change: what servers admit at a host is part of the state that must be settled; a handshake seen in doubt is recorded; for 10 s after a slot has changed hands an unrecorded flow whose agreed server is out goes to the slot's target (an older one is reset there, as before here).

Check: a flow opened during a cut was allowed to break already. Cells where it was opened within 7 ms of the end are allowed as well, if no message had brought word of the other side, directly or through others, to either host that decided; the check follows each message. This is no wider than what a host could know.

--- a/backend/bound_test.go
+++ b/backend/bound_test.go
@@ -193,3 +193,17 @@
 	is.Equal(c.admissions(), map[backend.Admission]int{backend.AdmitByCredit: 5})
 	is.True(c.busiest() <= coldRate)
 }
+
+// TestOwnFindingShows lets one host find out by itself that a server fails. Until its
+// keeper says so the records are alike everywhere, and what they admit is not.
+func TestOwnFindingShows(t *testing.T) {
+	is := is.New(t)
+	c := warm(1)
+	a, b := c.nodes[0].pool, c.nodes[1].pool
+	is.Equal(a.AdmissionDigest(), b.AdmissionDigest())
+	for range 3 {
+		a.Observe(c.now, backend.Evidence{Server: "s1", Kind: backend.EvidenceConnectFailed})
+	}
+	is.Equal(a.Admission("s1"), backend.AdmitNone)
+	is.True(a.AdmissionDigest() != b.AdmissionDigest())
+}
--- a/backend/gossip.go
+++ b/backend/gossip.go
@@ -38,6 +38,20 @@
 	return sum
 }
 
+// AdmissionDigest returns a digest of how servers admit new work at this host, which
+// depends on more than their records.
+func (p *Pool) AdmissionDigest() uint64 {
+	var sum uint64
+	for id, s := range p.servers {
+		var d xxhash.Digest
+		d.Reset()
+		_, _ = d.WriteString(string(id))
+		_, _ = d.Write([]byte{byte(s.tank.admitted())})
+		sum += d.Sum64()
+	}
+	return sum
+}
+
 func (s *server) setRecord(r fleet.ServerRecord) {
 	s.record, s.digest = r, digest(r)
 }
--- a/control/refresh.go
+++ b/control/refresh.go
@@ -50,7 +50,7 @@
 		c.doubts.observe(now, c.options.Self.DataCentre, c.members.Members())
 	}
 	records := c.servers.Digest()
-	state := membership.State{Revision: revised.Revision, Digest: records ^ stage*stageFactor}
+	state := membership.State{Revision: revised.Revision, Digest: records ^ stage*stageFactor ^ c.servers.AdmissionDigest()}
 	c.members.SetLocal(now, state)
 	next := installed{
 		members:  members,
--- a/faultmatrix/checks.go
+++ b/faultmatrix/checks.go
@@ -176,6 +176,10 @@
 		// Each side goes on with its own servers, and does not know where the
 		// other side placed a flow. The promise is about planned changes.
 		c.allow("a flow was opened while the data centres were cut off, and its packets went to both sides")
+	case f.apart:
+		// The same: neither the host that placed the flow nor the one that sent its
+		// packet to another server could know of the other side.
+		c.allow("a flow was opened before word of the other data centre had come")
 	case s.silent:
 		c.allow("%s does not answer", s.id)
 	default:
--- a/faultmatrix/flowcaller.go
+++ b/faultmatrix/flowcaller.go
@@ -43,6 +43,10 @@
 	sequence    uint32
 	tries       int
 	pending     bool
+	// placedApart says that the host that placed the flow on its server could not know
+	// of the other side of a cut, and apart that this holds for the host as well that
+	// has sent a packet to another server.
+	placedApart, apart bool
 }
 
 func (f *flowCallers) start() {
@@ -110,6 +114,17 @@
 	})
 }
 
+// forwarded notes that a host sends a packet of the flow to a server.
+func (c *flowCaller) forwarded(by fleet.HostID, to fleet.ServerID, p flowPacket) {
+	apart := c.world.network.apart(by)
+	switch {
+	case p.syn:
+		c.placedApart = apart
+	case c.established && to != c.server:
+		c.apart = c.placedApart && apart
+	}
+}
+
 // acked takes a server's answer to a packet.
 func (c *flowCaller) acked(from fleet.ServerID, p flowPacket) {
 	if c.ended || p.sequence != c.sequence {
--- a/faultmatrix/host.go
+++ b/faultmatrix/host.go
@@ -288,5 +288,6 @@
 	if !w.network.reaches(h.self.DataCentre, server.centre) {
 		return
 	}
+	c.forwarded(h.self.ID, d.Server, payload)
 	w.after(w.network.delay(h.self.DataCentre, server.centre), func() { server.packet(in.Key, c, payload) })
 }
--- a/faultmatrix/network.go
+++ b/faultmatrix/network.go
@@ -24,6 +24,9 @@
 	// cutLinks are one-way links between hosts that carry nothing.
 	cutLinks map[link]bool
 	bytes    map[fleet.HostID]int
+	// heard holds the hosts that could know of the other side since the last split:
+	// something has come to them from there, at first or second hand.
+	heard map[fleet.HostID]bool
 }
 
 type link struct{ from, to fleet.HostID }
@@ -39,6 +42,7 @@
 func (n *network) cutCentres(d time.Duration) {
 	n.split = true
 	n.splitSince, n.splitUntil = n.world.now, n.world.now.Add(d)
+	n.heard = make(map[fleet.HostID]bool)
 	n.world.after(d, func() { n.split = false })
 }
 
@@ -47,6 +51,12 @@
 	return !n.splitSince.IsZero() && !at.Before(n.splitSince) && at.Before(n.splitUntil)
 }
 
+// apart reports whether a host can't know of the other side: the data centres are cut
+// off from each other, or no message that was sent since has brought word from there.
+func (n *network) apart(id fleet.HostID) bool {
+	return !n.splitSince.IsZero() && !n.heard[id]
+}
+
 // reaches reports whether the network carries anything between two sites.
 func (n *network) reaches(a, b fleet.DataCentreID) bool { return a == b || !n.split }
 
@@ -56,7 +66,13 @@
 	if !n.reaches(a, b) || n.cutLinks[link{from, to}] || n.world.random.Float64() < n.loss {
 		return
 	}
-	n.world.after(n.delay(a, b), deliver)
+	word := !n.split && (a != b || n.heard[from])
+	n.world.after(n.delay(a, b), func() {
+		if word && !n.split && n.heard != nil {
+			n.heard[to] = true
+		}
+		deliver()
+	})
 }
 
 func (n *network) delay(a, b fleet.DataCentreID) time.Duration {
--- a/flow/decide.go
+++ b/flow/decide.go
@@ -82,7 +82,25 @@
 	case d.inquire():
 		return Decision{Service: d.view.name, Reason: ReasonInquiring}
 	}
-	return d.send(d.split.agreed, ReasonAgreed)
+	return d.unrecorded()
+}
+
+// orphanTime is for how long after a change of owner flows may turn up whose records
+// died with the former one.
+const orphanTime = 10 * time.Second
+
+// unrecorded forwards a packet of a flow that is older than the split, or whose
+// record died with its host. If the agreed server takes no packets any more, only the
+// latter can be open, and it is where new flows of the slot go.
+func (d *decider) unrecorded() Decision {
+	agreed, target := d.split.agreed, d.split.target
+	if d.now.Sub(d.split.live.acquired) >= orphanTime || agreed == noServer || d.view.server(agreed).usable() {
+		return d.send(agreed, ReasonAgreed)
+	}
+	if target == noServer || !d.view.server(target).usable() {
+		return d.send(agreed, ReasonAgreed)
+	}
+	return d.send(target, ReasonOrphaned)
 }
 
 // handOff hands a packet to the slot's owner, and remembers a first packet in
@@ -154,7 +172,7 @@
 	if d.first() && !d.udp() {
 		return d.send(server, ReasonRecord)
 	}
-	if server != d.split.agreed || d.udp() {
+	if server != d.split.agreed || d.udp() || d.router.doubtful.Load() {
 		d.establish(server)
 	}
 	*r = halfOpenRecord{}
--- a/flow/decision.go
+++ b/flow/decision.go
@@ -63,6 +63,7 @@
 	ReasonTable          Reason = "table"           // forwarded: the slot has one server
 	ReasonRecord         Reason = "record"          // forwarded: the flow is recorded
 	ReasonAgreed         Reason = "agreed"          // forwarded: an unrecorded flow of a split slot
+	ReasonOrphaned       Reason = "orphaned"        // forwarded: an unrecorded flow whose agreed server is out or gone
 	ReasonPlaced         Reason = "placed"          // forwarded: a new flow in a split slot
 	ReasonReused         Reason = "reused"          // forwarded: a new flow with the five-tuple of one that ended
 	ReasonLate           Reason = "late"            // forwarded: a packet of a recorded flow that has ended
@@ -82,7 +83,7 @@
 // Reasons returns all reasons, so that their counters can stand at zero.
 func Reasons() []Reason {
 	return []Reason{
-		ReasonTable, ReasonRecord, ReasonAgreed, ReasonPlaced, ReasonReused, ReasonLate, ReasonSplit,
+		ReasonTable, ReasonRecord, ReasonAgreed, ReasonOrphaned, ReasonPlaced, ReasonReused, ReasonLate, ReasonSplit,
 		ReasonUnknownAddress, ReasonNotReady, ReasonNotOwner, ReasonAcquiring, ReasonInquiring, ReasonUnsettled,
 		ReasonNoServer, ReasonRecordsFull, ReasonServerOut, ReasonServerGone,
 	}
--- a/flow/fetch.go
+++ b/flow/fetch.go
@@ -133,7 +133,7 @@
 			}
 			state.fetch = 0
 			state.live.mu.Lock()
-			state.live.lastOther = now
+			state.live.lastOther, state.live.acquired = now, now
 			state.live.mu.Unlock()
 			if state.announced || r.view.Settled {
 				state.live.grant(authorityFull)
--- a/flow/inquiry_test.go
+++ b/flow/inquiry_test.go
@@ -99,3 +99,24 @@
 	}
 	is.True(handed > 0)
 }
+
+// TestHandshakeInDoubtIsRemembered lets a host see a flow's whole handshake while it
+// doubts others. These may hold an older copy of the opening packet: they are not asked.
+func TestHandshakeInDoubtIsRemembered(t *testing.T) {
+	is := is.New(t)
+	a := &single{now: epoch}
+	a.view = flow.View{
+		Self: "a1", Hosts: []fleet.HostID{"a1"}, Doubted: []fleet.HostID{"b1"},
+		Services: []flow.Service{newService("hunt", 1, 14)},
+	}
+	a.install(true)
+	k := a.keysOf(3, 1)[0]
+	a.drain(3)
+	a.install(false)
+	is.Equal(a.send(k, flow.Input{SYN: true, Sequence: 1000}).Server, a.server(3).ID) // hosts may not know of the split
+	for range 2 {
+		d := a.send(k, secondPacket)
+		is.Equal(d.Server, a.server(3).ID)
+		is.Equal(d.Reason, flow.ReasonRecord)
+	}
+}
--- a/flow/split.go
+++ b/flow/split.go
@@ -48,8 +48,10 @@
 	authority authority
 	// lastOther is when a packet was last sent to another server than the target.
 	lastOther time.Time
-	records   recordSet
-	halfOpen  *halfOpenSet
+	// acquired is when this host last took the slot over from another owner.
+	acquired time.Time
+	records  recordSet
+	halfOpen *halfOpenSet
 	// inquiries are the flows about which doubted hosts are asked.
 	inquiries []inquiry
 }
--- a/flow/takeover_test.go
+++ b/flow/takeover_test.go
@@ -125,3 +125,36 @@
 	}
 	is.True(c.routers["host-03"].Stats().Retired > 0)
 }
+
+// TestFlowOutlivesItsRecord takes a data centre out, and ends the only host that knows
+// flows which were opened since. They are not taken for flows of the server that is out.
+func TestFlowOutlivesItsRecord(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, chosen, 3)
+	var keys []fleet.FlowKey // of slots of the server that will be out
+	for i := 0; len(keys) < 300; i++ {
+		if c.next(testKey(i)).Server == c.server(0, 3).ID {
+			keys = append(keys, testKey(i))
+		}
+	}
+	c.server(0, 3).Weight, c.server(0, 3).Out = 0, true
+	c.publish(spread)
+	c.run(settle + 2*time.Second)
+	flows := make(map[fleet.FlowKey]fleet.ServerID)
+	for _, k := range keys {
+		in := synInput
+		in.Key = k
+		if d := c.routers["host-01"].Decide(c.now, &in); d.Reason == flow.ReasonPlaced {
+			flows[k] = d.Server
+		}
+	}
+	is.True(len(flows) > 50)
+	delete(c.routers, "host-01")
+	c.hosts = []fleet.HostID{"host-00", "host-02"}
+	c.install("host-00", true)
+	c.install("host-02", true)
+	c.run(time.Second)
+	for k, server := range flows {
+		is.Equal(c.next(k).Server, server)
+	}
+}
