--- a/catalogue/follower.go
+++ b/catalogue/follower.go
@@ -21,6 +21,9 @@
 	maxWait = 1600 * time.Millisecond
 	// hostsWait is that of entry hosts, of which nothing has to be known in time.
 	hostsWait = 10 * time.Second
+	// hostsRest is the time between two calls for hosts: when many start together, each
+	// record is a change for all the others.
+	hostsRest = 2 * time.Second
 	// callTimeout is how long a call may take beyond the time it waits.
 	callTimeout = 600 * time.Millisecond
 	// maxPatience bounds how many times callTimeout a call gets after failed ones.
@@ -82,6 +85,14 @@
 	return regained
 }
 
+// Rest returns the pause before the next call after one that was served.
+func (f *Follower) Rest() time.Duration {
+	if f.Source == Hosts {
+		return hostsRest
+	}
+	return 0
+}
+
 // Failed takes in that a call was not served. It returns the pause before the
 // next one and whether the store has just been lost.
 func (f *Follower) Failed() (time.Duration, bool) {
--- a/entry/reader.go
+++ b/entry/reader.go
@@ -39,10 +39,21 @@
 		case r.host.answers <- []catalogue.Answer{answer}:
 		case <-ctx.Done():
 		}
+		pause(ctx, r.follower.Rest())
 	}
 	return nil
 }
 
+// pause waits for a time, or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // awaitTurn waits while the host is fed by another, and reports whether it did.
 func (r *storeReader) awaitTurn(ctx context.Context) bool {
 	r.follower.Learned(r.host.snapshot.Load().versions[r.follower.Source])
@@ -51,12 +62,7 @@
 		return false
 	}
 	r.listing.Reset()
-	timer := time.NewTimer(rest)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	pause(ctx, rest)
 	return true
 }
 
@@ -131,14 +137,9 @@
 		r.listing.Reset()
 		return
 	}
-	pause, lost := r.follower.Failed()
+	wait, lost := r.follower.Failed()
 	if lost {
 		r.host.log.Line("store_lost", "source", source, "error", err)
 	}
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	pause(ctx, wait)
 }
--- a/entry/reader_test.go
+++ b/entry/reader_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -94,3 +95,45 @@
 		is.NoErr(<-ended)
 	})
 }
+
+// hostCalls counts the calls for the list of hosts.
+type hostCalls struct {
+	store http.RoundTripper
+	calls atomic.Int32
+}
+
+func (s *hostCalls) RoundTrip(r *http.Request) (*http.Response, error) {
+	if strings.HasSuffix(r.URL.Path, "/rattanthread_hosts") && r.Method == http.MethodGet {
+		s.calls.Add(1)
+	}
+	return s.store.RoundTrip(r)
+}
+
+// TestHostsThatStartTogetherCostFewCalls is the load on the store of a deployment whose
+// 300 hosts register within two seconds: each record is a change for all the others.
+func TestHostsThatStartTogetherCostFewCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		settings, err := entry.LoadSettings(goodFile)
+		is.NoErr(err)
+		site := largeSite()
+		counted := &hostCalls{store: site.Store.Transport("front-a-1")}
+		network := idle()
+		network.Store = counted
+		h := entry.Host{Settings: settings, Logger: hclog.NewNullLogger(), Network: &network}
+		ctx, stop := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- h.Run(ctx) }()
+		for i := range 300 {
+			time.Sleep(7 * time.Millisecond)
+			site.Store.Put("rattanthread_hosts", fmt.Sprintf("front-b-%d", i), map[string]any{
+				"data_centre": "b", "address": fmt.Sprintf("10.9.%d.%d:80", i/250, i%250), "strength": 1,
+			})
+		}
+		time.Sleep(5 * time.Second)
+		is.True(counted.calls.Load() > 0)
+		is.True(counted.calls.Load() <= 6)
+		stop()
+		is.NoErr(<-ended)
+	})
+}
