Take a flood of changes in together

Change: a change that comes within a second of another is followed by a pause of 250 ms, a single one by none. Hosts register within 0.5 s of being ready, not 2, so that feeds form sooner.

--- a/catalogue/follower.go
+++ b/catalogue/follower.go
@@ -21,9 +21,10 @@
 	maxWait = 1600 * time.Millisecond
 	// hostsWait is that of entry hosts, of which nothing has to be known in time.
 	hostsWait = 10 * time.Second
-	// hostsRest is the time between two calls for hosts: when many start together, each
-	// record is a change for all the others.
-	hostsRest = 2 * time.Second
+	// floodRest is the pause after a change that came within floodGap of another: when
+	// many servers or hosts start together, one call takes in many changes.
+	floodRest = 250 * time.Millisecond
+	floodGap  = time.Second
 	// callTimeout is how long a call may take beyond the time it waits.
 	callTimeout = 600 * time.Millisecond
 	// maxPatience bounds how many times callTimeout a call gets after failed ones.
@@ -46,6 +47,8 @@
 	// forgotten says that the store has no history after version.
 	forgotten bool
 	failed    int
+	// changed is when the last changes came.
+	changed time.Time
 }
 
 // Learned takes in a version that is known from another source than the store.
@@ -85,12 +88,18 @@
 	return regained
 }
 
-// Rest returns the pause before the next call after one that was served.
-func (f *Follower) Rest() time.Duration {
-	if f.Source == Hosts {
-		return hostsRest
+// Rest returns the pause before the next call after an answer with or without changes.
+// A change that comes alone is followed at once.
+func (f *Follower) Rest(now time.Time, changes bool) time.Duration {
+	if !changes {
+		return 0
+	}
+	flood := !f.changed.IsZero() && now.Sub(f.changed) < floodGap
+	f.changed = now
+	if !flood {
+		return 0
 	}
-	return 0
+	return floodRest
 }
 
 // Failed takes in that a call was not served. It returns the pause before the
--- a/catalogue/follower_test.go
+++ b/catalogue/follower_test.go
@@ -70,3 +70,20 @@
 	}
 	is.True(waited < 8*time.Second)
 }
+
+// TestFloodOfChangesIsTakenTogether is the load of servers that start together. A single
+// change, as of a configuration, waits for nothing.
+func TestFloodOfChangesIsTakenTogether(t *testing.T) {
+	is := is.New(t)
+	f := catalogue.Follower{Source: catalogue.Servers}
+	now := time.Unix(1_700_000_000, 0)
+	is.Equal(f.Rest(now, true), time.Duration(0))
+	rested := time.Duration(0)
+	for range 50 {
+		now = now.Add(10 * time.Millisecond)
+		rested += f.Rest(now, true)
+	}
+	is.True(rested >= 10*time.Second)
+	is.Equal(f.Rest(now, false), time.Duration(0))
+	is.Equal(f.Rest(now.Add(2*time.Second), true), time.Duration(0))
+}
--- a/entry/reader.go
+++ b/entry/reader.go
@@ -39,7 +39,7 @@
 		case r.host.answers <- []catalogue.Answer{answer}:
 		case <-ctx.Done():
 		}
-		pause(ctx, r.follower.Rest())
+		pause(ctx, r.follower.Rest(r.host.network.Now(), len(answer.Records) > 0))
 	}
 	return nil
 }
--- a/entry/registrar.go
+++ b/entry/registrar.go
@@ -11,7 +11,7 @@
 
 // Times of the registration.
 const (
-	registerPause   = 2 * time.Second
+	registerPause   = 500 * time.Millisecond
 	registerTimeout = 2 * time.Second
 )
 
