Leave the rotation while no server answers

Ruled out: refusing new flows there; callers would come back to the same hosts.

Change: a host that got no answer from three servers and their witnesses for 0.6 s, and of which no caller has acknowledged anything, fails its health check until something answers. Where this holds for a whole data centre the fabric sends its callers to the nearest others.

--- a/entry/host.go
+++ b/entry/host.go
@@ -44,6 +44,8 @@
 	forwarder forwarding.Forwarder
 	probes    chan *catalogue.Server
 	stopping  atomic.Bool
+	// isolated says what was last found of whether the host reaches any server.
+	isolated atomic.Bool
 	// storeLost says that the last call on the store for servers has failed.
 	storeLost atomic.Bool
 	// ready is closed at the first catalogue that suffices to forward.
--- a/forwarding/forwarder.go
+++ b/forwarding/forwarder.go
@@ -216,6 +216,7 @@
 		f.repeated(now, c, cookie, &d)
 	case Answer:
 		f.Chooser.Reach.Answered(now, cookie)
+		f.Chooser.Isolation.Answered()
 		if f.Chooser.Suspects.Answered(now, cookie) {
 			d.Cleared = cookie
 		}
@@ -250,6 +251,11 @@
 // connections, it returns a packet of each flow to reset, and the servers that may
 // have ended with it and should be probed now.
 func (f *Forwarder) Probed(now time.Time, c *catalogue.Catalogue, p Probe) ([]Packet, []*catalogue.Server) {
+	if p.Found == placement.Unclear {
+		f.Chooser.Isolation.Unanswered(now, p.Server)
+	} else {
+		f.Chooser.Isolation.Answered()
+	}
 	if !f.Chooser.Reach.Probed(p.Began, p.Server, p.Found) {
 		return nil, nil
 	}
--- a/placement/chooser.go
+++ b/placement/chooser.go
@@ -54,6 +54,8 @@
 	Suspects Suspects
 	// Reach holds the servers that accept no connection.
 	Reach Reach
+	// Isolation tells whether the host reaches no server at all.
+	Isolation Isolation
 	// Outages tells when servers of a data centre end together.
 	Outages Outages
 	// Loads holds how busy servers are.
--- a/platformstandin/trouble.go
+++ b/platformstandin/trouble.go
@@ -28,6 +28,7 @@
 		{"stop_hosts", "each host is stopped and started in turn", (*Site).rollHosts},
 		{"kill_hosts", "all hosts are killed at once", (*Site).killHosts},
 		{"cut_zone", "a zone is cut off from all others and from the store", (*Site).cutZone},
+		{"cut_zone_bare", "a zone is cut off and its targets have crashed; the zone's clients reach the others", (*Site).cutBareZone},
 		{"host_held_up", "all that passes a host's link is late", (*Site).holdUpHost},
 		{"store_busy", "the store answers 503, targets leave meanwhile", func(s *Site) { s.storeFails(Faults{Outage: Busy}) }},
 		{"store_many", "the store answers 429", func(s *Site) { s.storeFails(Faults{Outage: Many}) }},
@@ -180,6 +181,24 @@
 	})
 }
 
+// cutBareZone cuts a zone off whose targets end at the same time, for good.
+func (s *Site) cutBareZone() {
+	time.Sleep(3 * time.Second)
+	s.locked(func() {
+		s.cut[s.Zones[0]] = true
+		for _, t := range s.targets {
+			if t.Zone == s.Zones[0] {
+				t.crash(Dark)
+			}
+		}
+	})
+	time.Sleep(troubleTime)
+	s.locked(func() {
+		delete(s.cut, s.Zones[0])
+		s.harmed = time.Now()
+	})
+}
+
 // heldUpTime is by how much the link of a host that is held up delays a packet.
 const heldUpTime = 250 * time.Millisecond
 
