Take witnesses also from servers that get no new flow

Change: a witness may be any server of the own data centre, of any service.

Test fails before: TestWitnesses (does not build; with the pool's servers it finds none).

--- a/catalogue/catalogue.go
+++ b/catalogue/catalogue.go
@@ -19,6 +19,8 @@
 	servers map[Cookie]*Server
 	gone    map[Cookie]bool
 	pools   map[fleet.ServiceName]*Pool
+	// places holds all servers by data centre, also those that get no new flow.
+	places  map[fleet.DataCentreID][]*Server
 	hosts   []fleet.Host
 	hostIDs []fleet.HostID
 	changed map[fleet.HostID]Version // of hosts
@@ -40,6 +42,9 @@
 // Gone returns the cookies of the servers that are known to have ended.
 func (c *Catalogue) Gone() map[Cookie]bool { return c.gone }
 
+// Place returns the servers of a data centre, also those that get no new flow.
+func (c *Catalogue) Place(id fleet.DataCentreID) []*Server { return c.places[id] }
+
 // Pick returns the service that a new flow goes to, by a hash of the flow.
 func (c *Catalogue) Pick(route *Route, hash uint64) fleet.ServiceName { return route.pick(hash) }
 
--- a/catalogue/tracker.go
+++ b/catalogue/tracker.go
@@ -446,6 +446,7 @@
 		routes:        make(map[netip.AddrPort]*Route),
 		gone:          make(map[Cookie]bool, len(t.gone)),
 		pools:         make(map[fleet.ServiceName]*Pool),
+		places:        make(map[fleet.DataCentreID][]*Server),
 		count:         len(t.servers),
 		evacuations:   t.listed[Evacuations],
 		whole:         t.listed[Servers],
@@ -469,7 +470,11 @@
 	}
 	c.servers = uniqueCookies(servers)
 	for _, server := range servers {
-		if server.Cookie != 0 && !server.Draining && !t.evacuated[server.DataCentre] {
+		if server.Cookie == 0 {
+			continue
+		}
+		c.places[server.DataCentre] = append(c.places[server.DataCentre], server)
+		if !server.Draining && !t.evacuated[server.DataCentre] {
 			c.add(server)
 		}
 	}
--- a/entry/probe.go
+++ b/entry/probe.go
@@ -83,10 +83,10 @@
 	if attempts == 1 {
 		return nil
 	}
-	pool := h.snapshot.Load().catalogue.Pool(server.Service)
+	known := h.snapshot.Load().catalogue
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.forwarder.Chooser.Witnesses(pool, server, uint64(h.network.Now().UnixNano()))
+	return h.forwarder.Chooser.Witnesses(known, server, uint64(h.network.Now().UnixNano()))
 }
 
 // probed acts on a finished probe, and reports whether its server is unreachable.
--- a/forwarding/forwarder_test.go
+++ b/forwarding/forwarder_test.go
@@ -295,3 +295,30 @@
 	}
 	is.Equal(probed, 3)
 }
+
+// TestWitnesses is the load of a data centre that is taken out and cut off at once: its
+// own servers get no new flow, and are the only ones that can answer.
+func TestWitnesses(t *testing.T) {
+	is := is.New(t)
+	var w world
+	draining, other, remote := server("i-02", "bench"), server("i-03", "sheets"), server("i-04", "bench")
+	draining.Draining, remote.DataCentre = true, "b"
+	known := learn(
+		w.configuration("bench"), w.servers(server("i-01", "bench"), draining, other, remote),
+		catalogue.Answer{Source: catalogue.Evacuations, Whole: true, Version: 9, Records: []catalogue.Record{{Name: "a", Changed: 9}}},
+	)
+	probed := known.Server(catalogue.CookieOf("i-04"))
+	c := placement.Chooser{DataCentre: "a"}
+	seen := make(map[fleet.ServerID]bool)
+	for turn := range uint64(100) {
+		witnesses := c.Witnesses(known, probed, turn)
+		is.Equal(len(witnesses), 1) // the only remote one is being probed
+		seen[witnesses[0].ID] = true
+	}
+	is.Equal(len(seen), 3)
+	c.Reach.Doubt(catalogue.CookieOf("i-01"))
+	c.Reach.Doubt(catalogue.CookieOf("i-02"))
+	is.Equal(c.Witnesses(known, probed, 1)[0].ID, fleet.ServerID("i-03"))
+	c.Reach.Doubt(catalogue.CookieOf("i-03"))
+	is.Equal(len(c.Witnesses(known, probed, 1)), 0)
+}
--- a/placement/chooser.go
+++ b/placement/chooser.go
@@ -138,21 +138,24 @@
 // Witnesses returns servers to probe beside one that does not answer: one of the
 // host's own data centre and one of another, as far as there are some in no doubt.
 // If none of them answers either, the host itself may be held up.
-func (c *Chooser) Witnesses(pool *catalogue.Pool, of *catalogue.Server, turn uint64) []*catalogue.Server {
-	var near, far *catalogue.Server
-	for _, server := range pool.All {
-		if server == of || c.Reach.Doubted(server.Cookie) {
+func (c *Chooser) Witnesses(known *catalogue.Catalogue, of *catalogue.Server, turn uint64) []*catalogue.Server {
+	near := c.witness(known.Place(c.DataCentre), of, turn, func(*catalogue.Server) bool { return true })
+	far := c.witness(known.Pool(of.Service).All, of, turn, func(s *catalogue.Server) bool { return s.DataCentre != c.DataCentre })
+	return slices.DeleteFunc([]*catalogue.Server{near, far}, func(s *catalogue.Server) bool { return s == nil })
+}
+
+// witness returns one of the servers that fit and are in no doubt, another one each turn.
+func (c *Chooser) witness(servers []*catalogue.Server, of *catalogue.Server, turn uint64, fits func(*catalogue.Server) bool) *catalogue.Server {
+	var best *catalogue.Server
+	for _, server := range servers {
+		if server == of || c.Reach.Doubted(server.Cookie) || !fits(server) {
 			continue
 		}
-		best := &far
-		if server.DataCentre == c.DataCentre {
-			best = &near
-		}
-		if *best == nil || score(turn, server.Cookie) > score(turn, (*best).Cookie) {
-			*best = server
+		if best == nil || score(turn, server.Cookie) > score(turn, best.Cookie) {
+			best = server
 		}
 	}
-	return slices.DeleteFunc([]*catalogue.Server{near, far}, func(s *catalogue.Server) bool { return s == nil })
+	return best
 }
 
 // Opened notes that a new flow goes to a server that Choose has returned.
