Keep the flows of silent servers while no other server can take them

Before, flows that could wait went on when the cut ended.

Ruled out: refusing openings there as well; a copy may come after the cut's end.

Change: silence ends flows only if a server in no doubt could take them. A refusal ends them as before.

Test fails before: TestFlowsAreKeptWhereNoServerIsLeft.

--- a/entry/probe.go
+++ b/entry/probe.go
@@ -56,11 +56,11 @@
 		if took := h.network.Now().Sub(p.Began); p.Found == placement.Silent && took > maxProbeTime {
 			p.Found = placement.Unclear
 		}
-		unreachable := h.probed(server, p)
+		ended := h.probed(server, p)
 		if p.Found == placement.Accepted {
 			return
 		}
-		if unreachable {
+		if ended {
 			attempts, pause = 1, probePause
 		}
 		select {
@@ -89,18 +89,19 @@
 	return h.forwarder.Chooser.Witnesses(known, server, uint64(h.network.Now().UnixNano()))
 }
 
-// probed acts on a finished probe, and reports whether its server is unreachable.
+// probed acts on a finished probe, and reports whether its server's flows have ended.
 func (h *Host) probed(server *catalogue.Server, p forwarding.Probe) bool {
 	h.mu.Lock()
 	flows, also := h.forwarder.Probed(h.network.Now(), h.snapshot.Load().catalogue, p)
+	ended := h.forwarder.Chooser.Reach.Ended(server.Cookie)
 	unreachable := h.forwarder.Chooser.Reach.Unreachable(server.Cookie)
 	h.record(Event{Probe: &ProbeEvent{Probe: p, Flows: len(flows)}})
 	h.mu.Unlock()
 	h.metrics.probes.WithLabelValues(p.Found.String()).Inc()
-	h.log.Line("server_probed", "server", server.ID, "result", p.Found.String(), "unreachable", unreachable, "flows", len(flows))
+	h.log.Line("server_probed", "server", server.ID, "result", p.Found.String(), "unreachable", unreachable, "ended", ended, "flows", len(flows))
 	h.askProbes(also)
 	h.resetFlows(flows, server.ID, forwarding.ServerUnreachable)
-	return unreachable
+	return ended
 }
 
 // askProbes asks for probes. Those for which there is no room are left out.
--- a/forwarding/forwarder.go
+++ b/forwarding/forwarder.go
@@ -197,7 +197,7 @@
 	if server == nil {
 		return withoutServer(c, cookie, p)
 	}
-	if f.Chooser.Reach.Unreachable(cookie) && p.Kind != Reset {
+	if f.Chooser.Reach.Ended(cookie) && p.Kind != Reset {
 		f.flows.Closed(&p)
 		return Decision{Action: Refuse, Reason: ServerUnreachable, Server: server}
 	}
@@ -249,17 +249,19 @@
 
 // Probed takes in what a probe has found. If its server has turned out to accept no
 // connections, it returns a packet of each flow to reset, and the servers that may
-// have ended with it and should be probed now.
+// have ended with it and should be probed now. The flows of a silent server are kept
+// while no other one could take them: the server may only be cut off.
 func (f *Forwarder) Probed(now time.Time, c *catalogue.Catalogue, p Probe) ([]Packet, []*catalogue.Server) {
 	if p.Found == placement.Unclear {
 		f.Chooser.Isolation.Unanswered(now, p.Server)
 	} else {
 		f.Chooser.Isolation.Answered()
 	}
-	if !f.Chooser.Reach.Probed(p.Began, p.Server, p.Found) {
+	server := c.Server(p.Server)
+	other := server != nil && f.Chooser.Other(c.Pool(server.Service), p.Server)
+	if !f.Chooser.Reach.Probed(p.Began, p.Server, p.Found, other) {
 		return nil, nil
 	}
-	server := c.Server(p.Server)
 	if server == nil || !f.Chooser.Outages.Ended(now, server.DataCentre) {
 		return f.flows.Ended(p.Server), nil
 	}
--- a/placement/chooser.go
+++ b/placement/chooser.go
@@ -158,6 +158,13 @@
 	return best
 }
 
+// Other reports whether a new flow can go to another server, one in no doubt.
+func (c *Chooser) Other(pool *catalogue.Pool, than catalogue.Cookie) bool {
+	return slices.ContainsFunc(pool.All, func(s *catalogue.Server) bool {
+		return s.Cookie != than && !c.Reach.Doubted(s.Cookie)
+	})
+}
+
 // Opened notes that a new flow goes to a server that Choose has returned.
 func (c *Chooser) Opened(now time.Time, pool *catalogue.Pool, server *catalogue.Server) {
 	if server.IsCold(now) {
--- a/placement/chooser_test.go
+++ b/placement/chooser_test.go
@@ -63,7 +63,9 @@
 			c.Suspects.Repeated(start, s.Cookie)
 			c.Suspects.Repeated(start, s.Cookie)
 		}},
-		{"unreachable", func(c *placement.Chooser, s *catalogue.Server) { c.Reach.Probed(start, s.Cookie, placement.Silent) }},
+		{"unreachable", func(c *placement.Chooser, s *catalogue.Server) {
+			c.Reach.Probed(start, s.Cookie, placement.Silent, true)
+		}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/placement/reach.go
+++ b/placement/reach.go
@@ -16,6 +16,9 @@
 // doubt is what is known of a server that is being probed.
 type doubt struct {
 	unreachable bool
+	// kept says that the flows of the unreachable server were not ended, as no other
+	// server could take them.
+	kept bool
 	// answered is when a caller last acknowledged data of the server.
 	answered time.Time
 }
@@ -39,9 +42,10 @@
 	}
 }
 
-// Probed takes in what a probe that began at a time has found. It reports whether
-// the server has just become unreachable.
-func (r *Reach) Probed(began time.Time, server catalogue.Cookie, found Evidence) bool {
+// Probed takes in what a probe that began at a time has found. It reports whether the
+// server's flows should be ended now: it has become unreachable, and its address
+// refuses connections or another server can take them.
+func (r *Reach) Probed(began time.Time, server catalogue.Cookie, found Evidence, other bool) bool {
 	held := r.servers[server]
 	if found == Silent && !held.unreachable && !held.answered.Before(began) {
 		found = Unclear
@@ -54,8 +58,9 @@
 		return false
 	case Refused, Silent:
 	}
-	r.put(server, doubt{unreachable: true})
-	return !held.unreachable
+	kept := found == Silent && !other && (!held.unreachable || held.kept)
+	r.put(server, doubt{unreachable: true, kept: kept})
+	return !kept && (!held.unreachable || held.kept)
 }
 
 func (r *Reach) put(server catalogue.Cookie, held doubt) {
@@ -76,3 +81,9 @@
 
 // Unreachable reports whether a server accepts no connection.
 func (r *Reach) Unreachable(server catalogue.Cookie) bool { return r.servers[server].unreachable }
+
+// Ended reports whether the flows of an unreachable server have been ended.
+func (r *Reach) Ended(server catalogue.Cookie) bool {
+	held := r.servers[server]
+	return held.unreachable && !held.kept
+}
--- a/placement/suspects_test.go
+++ b/placement/suspects_test.go
@@ -44,10 +44,10 @@
 	const server = catalogue.Cookie(1)
 	is.True(r.Doubt(server))
 	is.True(!r.Doubt(server))
-	is.True(r.Probed(start, server, placement.Silent))
+	is.True(r.Probed(start, server, placement.Silent, true))
 	is.True(r.Unreachable(server))
-	is.True(!r.Probed(start, server, placement.Silent)) // known already
-	r.Probed(start, server, placement.Accepted)
+	is.True(!r.Probed(start, server, placement.Silent, true)) // known already
+	r.Probed(start, server, placement.Accepted, true)
 	is.True(!r.Unreachable(server))
 	is.True(r.Doubt(server))
 }
@@ -78,10 +78,10 @@
 			if test.answered != 0 {
 				r.Answered(began.Add(test.answered), server)
 			}
-			is.Equal(r.Probed(began, server, test.found), test.want)
+			is.Equal(r.Probed(began, server, test.found, true), test.want)
 			is.Equal(r.Unreachable(server), test.want)
 			is.True(!r.Doubt(server)) // it is probed on, or known
-			is.True(r.Probed(ended, server, placement.Refused) != test.want)
+			is.True(r.Probed(ended, server, placement.Refused, true) != test.want)
 		})
 	}
 }
@@ -111,3 +111,23 @@
 		is.True(!slow.Ended(start.Add(time.Duration(i)*600*time.Millisecond), "a")) // single crashes
 	}
 }
+
+// TestFlowsAreKeptWhereNoServerIsLeft is the load of a data centre that is cut off from
+// the only servers that get new flows. Its callers can wait, and lose by a reset.
+func TestFlowsAreKeptWhereNoServerIsLeft(t *testing.T) {
+	const server = catalogue.Cookie(1)
+	is := is.New(t)
+	var r placement.Reach
+	r.Doubt(server)
+	is.True(!r.Probed(start, server, placement.Silent, false))
+	is.True(r.Unreachable(server)) // gets no new flow
+	is.True(!r.Ended(server))
+	is.True(!r.Probed(start, server, placement.Silent, false))
+	is.True(r.Probed(start, server, placement.Silent, true)) // another one is back first
+	is.True(r.Ended(server))
+	is.True(!r.Probed(start, server, placement.Silent, false)) // ended once
+	is.True(r.Ended(server))
+
+	var refused placement.Reach
+	is.True(refused.Probed(start, server, placement.Refused, false)) // it has certainly ended
+}
--- a/platformstandin/trouble.go
+++ b/platformstandin/trouble.go
@@ -29,6 +29,7 @@
 		{"kill_hosts", "all hosts are killed at once", (*Site).killHosts},
 		{"cut_zone", "a zone is cut off from all others and from the store", (*Site).cutZone},
 		{"cut_zone_bare", "a zone is cut off and its targets have crashed; the zone's clients reach the others", (*Site).cutBareZone},
+		{"cut_zone_out", "a zone is taken out and then cut off: no other targets are reached from it", (*Site).cutZoneOut},
 		{"host_held_up", "all that passes a host's link is late", (*Site).holdUpHost},
 		{"store_busy", "the store answers 503, targets leave meanwhile", func(s *Site) { s.storeFails(Faults{Outage: Busy}) }},
 		{"store_many", "the store answers 429", func(s *Site) { s.storeFails(Faults{Outage: Many}) }},
@@ -199,6 +200,21 @@
 	})
 }
 
+// cutZoneOut takes a zone out and cuts it off for a while.
+func (s *Site) cutZoneOut() {
+	time.Sleep(3 * time.Second)
+	s.Evacuate(s.Zones[0])
+	time.Sleep(time.Second)
+	s.locked(func() { s.cut[s.Zones[0]] = true })
+	time.Sleep(troubleTime / 2)
+	s.locked(func() {
+		delete(s.cut, s.Zones[0])
+		s.harmed = time.Now()
+	})
+	time.Sleep(troubleTime / 2)
+	s.Return(s.Zones[0])
+}
+
 // heldUpTime is by how much the link of a host that is held up delays a packet.
 const heldUpTime = 250 * time.Millisecond
 
