Keep a late upstream, and bound the feeds that a host gives

Ruled out: naming children to a refused host; the next in its own order serves as well and can form no loop.

Change: a late feed is kept while the host's own calls on the store succeed (it reads meanwhile, as before), and a host accepts 16 feeds and 8 for each step of its strength.

--- a/entry/control.go
+++ b/entry/control.go
@@ -85,6 +85,12 @@
 
 // join adds a host that learns from this one, and tells it what it lacks.
 func (c *control) join(s *subscriber) {
+	if len(c.subscribers) >= c.host.maxFeeds() {
+		s.full.Store(true)
+		s.drop()
+		return
+	}
+	c.host.log.Line("feed_opened", "peer", s.host, "feeds", len(c.subscribers)+1)
 	c.subscribers[s] = true
 	for source := range catalogue.Source(catalogue.SourceCount) {
 		if c.tracker.Known(source) && c.tracker.Version(source) > s.versions[source] {
--- a/entry/export_test.go
+++ b/entry/export_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 
 	"github.com/hashicorp/go-hclog"
 
@@ -46,6 +47,7 @@
 	h := &Host{network: network, metrics: newMetrics(), joins: make(chan subscription), answers: make(chan []catalogue.Answer), ready: make(chan struct{})}
 	h.log.Logger = hclog.NewNullLogger()
 	h.snapshot.Store(&snapshot{})
+	h.current.Store(&Settings{})
 	go func() { _ = (&control{host: h}).run(ctx) }()
 	return h
 }
@@ -73,3 +75,17 @@
 	h.subscribe(ctx, subscription{subscriber: &subscriber{answers: make(chan catalogue.Answer, feedQueue), drop: cancel}})
 	return len(s.answers)
 }
+
+// FeedsAccepted asks a host of some limits for many feeds, and returns how many it gives.
+func FeedsAccepted(ctx context.Context, network Network, limits Limits, asked int) int {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	h := runControl(ctx, network)
+	h.current.Store(&Settings{Limits: limits})
+	var refused atomic.Int32
+	for range asked {
+		h.subscribe(ctx, subscription{subscriber: &subscriber{drop: func() { refused.Add(1) }}})
+	}
+	h.subscribe(ctx, subscription{subscriber: &subscriber{}, leaves: true})
+	return asked - int(refused.Load())
+}
--- a/entry/feed.go
+++ b/entry/feed.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/coder/websocket"
@@ -33,6 +34,9 @@
 	blindPause = 300 * time.Millisecond
 	// feedFanout is how many hosts of its data centre one host feeds.
 	feedFanout = 16
+	// feedsPerStrength is how many more a host accepts for each step of its strength:
+	// hosts that have lost theirs, or don't agree on the tree.
+	feedsPerStrength = 8
 	// maxFeedBytes bounds a message of a feed.
 	maxFeedBytes = 8 << 20
 	// feedQueue is how many answers wait for a slow subscriber.
@@ -64,10 +68,12 @@
 
 // subscriber is a host that learns from this one.
 type subscriber struct {
+	host     fleet.HostID
 	versions [catalogue.SourceCount]catalogue.Version
 	answers  chan catalogue.Answer
-	// drop ends the feed.
+	// drop ends the feed, and full says that there was no room for it.
 	drop context.CancelFunc
+	full atomic.Bool
 }
 
 // subscription asks the control goroutine to feed a host, or to stop that.
@@ -90,16 +96,27 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	s := &subscriber{versions: asked.Versions, answers: make(chan catalogue.Answer, feedQueue), drop: cancel}
+	s := &subscriber{host: asked.Host, versions: asked.Versions, answers: make(chan catalogue.Answer, feedQueue), drop: cancel}
 	if !h.subscribe(ctx, subscription{subscriber: s}) {
 		return
 	}
-	h.log.Line("feed_opened", "peer", asked.Host)
 	err = h.sendUpdates(ctx, stream, s)
+	if s.full.Load() {
+		h.log.Line("feed_refused", "peer", asked.Host, "error", errFull)
+		return
+	}
 	h.log.Line("feed_closed", "peer", asked.Host, "error", err)
 	h.subscribe(context.WithoutCancel(ctx), subscription{subscriber: s, leaves: true})
 }
 
+// errFull is why a feed is refused by a host that has enough of them.
+var errFull = errors.New("full")
+
+// maxFeeds returns how many hosts may learn from this one.
+func (h *Host) maxFeeds() int {
+	return feedFanout + feedsPerStrength*h.current.Load().Limits.strength()
+}
+
 // subscribe hands a subscription to the control goroutine. It returns false if the
 // host stops first.
 func (h *Host) subscribe(ctx context.Context, s subscription) bool {
@@ -226,7 +243,9 @@
 	return f.chooser.Seed(now, h.current.Load().Peers.Seeds)
 }
 
-// follow learns from a host until it falls silent or late.
+// follow learns from a host until it falls silent. While it is late this host reads
+// the store itself, and leaves it only if the store does not answer: others may be
+// better off then. A source that is late for all is no reason to leave.
 func (f *feedClient) follow(ctx context.Context, to netip.AddrPort) error {
 	h := f.host
 	dialing, cancel := context.WithTimeout(ctx, feedDial)
@@ -251,7 +270,7 @@
 		if err := f.receive(ctx, stream, &fresh); err != nil {
 			return err
 		}
-		if !blind && !fresh.Fresh(h.network.Now()) {
+		if !blind && !fresh.Fresh(h.network.Now()) && h.storeLost.Load() {
 			return errors.New("late")
 		}
 		if blind && !h.snapshot.Load().catalogue.Ready() && h.network.Now().Sub(began) > blindTime {
