Give no caller an answer to another request

Cause: a backend server of the product's own interface may send a second copy of an answer, late, on a kept connection that carries the next request by then. The door took the first answer on the connection for that of its request: the next caller got an answer not its own, and a copied refusal said 'not run' of a request that ran. Looked for because it has happened to operators of similar systems.

Ruled out: relying on net/http, which notices copies on idle connections only; a connection for each request everywhere, which costs a handshake each time.

Change: each attempt at a server carries Request-Attempt. A server that repeats it in its answers has its connections kept, and an answer that names another attempt, or none on a kept connection, ends as unknown with foreign_answer; the connection is closed. Other servers get a connection for each request.

--- a/door/door.go
+++ b/door/door.go
@@ -52,6 +52,8 @@
 	setupOnce   sync.Once
 	reading     atomic.Int64
 	budgets     sync.Map // fleet.ServiceName to *request.Budget
+	named       sync.Map // netip.AddrPort of servers that name attempts in answers
+	attempts    atomic.Uint64
 	drainer     drainer
 }
 
--- a/door/header.go
+++ b/door/header.go
@@ -26,6 +26,9 @@
 	// HeaderEarlier carries, with a refusal, what is known of earlier attempts
 	// with the same key: "none" if no earlier attempt ran, else "unknown".
 	HeaderEarlier = "Request-Earlier"
+	// HeaderAttempt names one attempt at a backend server. A server that repeats it in
+	// its answer has its connections kept.
+	HeaderAttempt = "Request-Attempt"
 	// HeaderReplayed is "true" on an answer that an earlier attempt got.
 	HeaderReplayed = "Request-Replayed"
 )
@@ -38,7 +41,7 @@
 }
 
 // ownHeaders are set by the door alone.
-var ownHeaders = []string{HeaderOutcome, HeaderReason, HeaderEarlier, HeaderReplayed}
+var ownHeaders = []string{HeaderOutcome, HeaderReason, HeaderEarlier, HeaderReplayed, HeaderAttempt}
 
 // passHeaders returns a copy of h without the headers of one connection.
 func passHeaders(h http.Header) http.Header {
--- a/door/result.go
+++ b/door/result.go
@@ -24,6 +24,7 @@
 	ReasonAnswerCut       request.Reason = "answer_cut"
 	ReasonAnswerEndless   request.Reason = "answer_without_length"
 	ReasonNoAnswer        request.Reason = "no_answer"
+	ReasonForeignAnswer   request.Reason = "foreign_answer"
 	ReasonBodyNotKept     request.Reason = "body_not_kept"
 	ReasonCallerLeft      request.Reason = "caller_left"
 	ReasonClaimFailed     request.Reason = "claim_failed"
--- a/door/transport.go
+++ b/door/transport.go
@@ -81,6 +81,7 @@
 type sendProof struct {
 	mu     sync.Mutex
 	conn   net.Conn
+	reused bool
 	before int
 	conns  int
 }
@@ -90,13 +91,29 @@
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		p.conns++
-		p.conn = info.Conn
+		p.conn, p.reused = info.Conn, info.Reused
 		if c, ok := info.Conn.(*sealedConn); ok {
 			p.before = c.written()
 		}
 	}}
 }
 
+// drop closes the connection, so that it carries no further request.
+func (p *sendProof) drop() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.conn != nil {
+		_ = p.conn.Close() // whatever is still under way on it belongs to nobody
+	}
+}
+
+// wasReused reports whether the connection has carried other requests before.
+func (p *sendProof) wasReused() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.reused
+}
+
 // notSent reports, after a failed round trip, whether nothing was sent and
 // nothing can be sent any more. A transport that does not report connections
 // proves nothing; only a failure to connect does.
--- a/door/try.go
+++ b/door/try.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"net/netip"
 	"net/url"
 	"strconv"
 	"strings"
@@ -100,6 +101,11 @@
 		}
 		return answer{failure: &failure{reason: ReasonNoAnswer}}
 	}
+	if !x.door.belongs(resp, out, s.Address, proof) {
+		proof.drop()
+		_ = resp.Body.Close()
+		return answer{failure: &failure{reason: ReasonForeignAnswer}}
+	}
 	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderOutcome) == string(request.Refused) {
 		_ = resp.Body.Close()
 		return answer{failure: &failure{notRun: true, reason: ReasonShed}}
@@ -107,6 +113,21 @@
 	return x.readAnswer(resp)
 }
 
+// belongs reports whether an answer is that to the request. On a kept connection a
+// late copy of an earlier answer looks like the next one, so only servers that name
+// the attempt in their answers have connections kept.
+func (d *Door) belongs(resp *http.Response, out *http.Request, server netip.AddrPort, proof *sendProof) bool {
+	switch resp.Header.Get(HeaderAttempt) {
+	case out.Header.Get(HeaderAttempt):
+		d.named.Store(server, true)
+		return true
+	case "":
+		d.named.Delete(server)
+		return !proof.wasReused()
+	}
+	return false
+}
+
 // outgoing builds the request to a server, so that net/http does not send it
 // twice on its own. It would do so for some methods, and for requests with an
 // Idempotency-Key in canonical spelling, if it can rewind the body.
@@ -134,6 +155,9 @@
 		// An empty value keeps net/http from adding its own.
 		out.Header["User-Agent"] = []string{""}
 	}
+	out.Header.Set(HeaderAttempt, strconv.FormatUint(x.door.attempts.Add(1), 10))
+	_, named := x.door.named.Load(s.Address)
+	out.Close = !named
 	out.Header.Set(HeaderTimeout, formatTimeout(x.deadline.Sub(x.door.Now())))
 	return out.WithContext(ctx)
 }
--- a/standin/requestserver.go
+++ b/standin/requestserver.go
@@ -21,6 +21,7 @@
 	HeaderTimeout = "Request-Timeout" // seconds until the deadline, with decimals
 	HeaderEarlier = "Request-Earlier" // "none" if no earlier attempt with the key ran
 	HeaderServer  = "Server-Name"
+	HeaderAttempt = "Request-Attempt" // names one attempt; servers repeat it
 )
 
 // Outcome is what a caller is told about its request.
@@ -86,6 +87,7 @@
 
 // ServeHTTP runs a request, or refuses it.
 func (s *RequestServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(HeaderAttempt, r.Header.Get(HeaderAttempt))
 	_, _ = io.Copy(io.Discard, http.MaxBytesReader(w, r.Body, maxRequestBody))
 	if reason := s.admit(r); reason != "" {
 		refuse(w, reason)
