Leave half-open flows to the slot's owner after a cut

The caller's second packet then came to the former owner, whose half-open record named the other server.

Ruled out: dropping half-open records when the sides meet; where the caller took the first server, the owner asks for them.

Change: while in doubt a former owner leaves packets of flows whose handshake it has not seen whole to the owner, which has its own record, or asks.

Test fails before: TestFormerOwnerYieldsHalfOpenFlows.

--- a/flow/inquiry.go
+++ b/flow/inquiry.go
@@ -47,12 +47,17 @@
 	return true
 }
 
-// yields reports whether a former owner leaves a new flow to the slot's owner, even
-// though that one has not asked for the slot yet: after a cut both may decide.
+// yields reports whether a former owner leaves a flow to the slot's owner, even though
+// that one has not asked for the slot yet: after a cut both may decide. A new flow is
+// left to it, and so is one whose handshake this host has not seen whole: the owner may
+// have placed a later copy of its opening packet elsewhere.
 func (d *decider) yields() bool {
 	f := d.split.live
-	return d.router.doubtful.Load() && d.first() && f.records.find(d.hash) == nil &&
-		f.halfOpen.find(d.hash, seconds(d.now)) == nil
+	if !d.router.doubtful.Load() || f.records.find(d.hash) != nil {
+		return false
+	}
+	halfOpen := f.halfOpen.find(d.hash, seconds(d.now)) != nil
+	return d.first() != halfOpen
 }
 
 // awaits reports whether the answers to an inquiry may still come. If none came,
--- a/flow/inquiry_test.go
+++ b/flow/inquiry_test.go
@@ -120,3 +120,28 @@
 		is.Equal(d.Reason, flow.ReasonRecord)
 	}
 }
+
+// TestFormerOwnerYieldsHalfOpenFlows lets a host place a flow while it is cut off. The
+// owner gets a copy of the opening packet after the cut, and places the flow elsewhere.
+func TestFormerOwnerYieldsHalfOpenFlows(t *testing.T) {
+	is := is.New(t)
+	a := newSide("a1", "b1")
+	var keys []fleet.FlowKey
+	for i := range 2000 {
+		k := testKey(i)
+		if a.send(k, flow.Input{SYN: true, Sequence: 1000}).Reason == flow.ReasonPlaced {
+			keys = append(keys, k)
+		}
+	}
+	a.view.Hosts = []fleet.HostID{"a1", "b1"}
+	a.install(true)
+	handed := 0
+	for _, k := range keys {
+		d := a.send(k, secondPacket)
+		if d.Action == flow.HandOff {
+			is.Equal(d.Host, fleet.HostID("b1"))
+			handed++
+		}
+	}
+	is.True(handed > 0 && handed < len(keys)) // those of slots that the other host owns
+}
