Do not end the flows of a kept server that answers

Cause, found by reading: of a server whose flows were kept, an answer that a caller acknowledged during the next probe was not looked at, since the server counted as unreachable already. Where only connections fail (a full queue) and another server came back, flows of a living server could have been reset.

Change: answers count until the flows have been ended.

Test fails before: TestFlowsAreKeptWhereNoServerIsLeft, its new part.

--- a/placement/reach.go
+++ b/placement/reach.go
@@ -47,7 +47,7 @@
 // refuses connections or another server can take them.
 func (r *Reach) Probed(began time.Time, server catalogue.Cookie, found Evidence, other bool) bool {
 	held := r.servers[server]
-	if found == Silent && !held.unreachable && !held.answered.Before(began) {
+	if ended := held.unreachable && !held.kept; found == Silent && !ended && !held.answered.Before(began) {
 		found = Unclear
 	}
 	switch found {
--- a/placement/suspects_test.go
+++ b/placement/suspects_test.go
@@ -128,6 +128,13 @@
 	is.True(!r.Probed(start, server, placement.Silent, false)) // ended once
 	is.True(r.Ended(server))
 
+	var answering placement.Reach
+	answering.Doubt(server)
+	is.True(!answering.Probed(start, server, placement.Silent, false))
+	answering.Answered(start.Add(time.Millisecond), server)
+	is.True(!answering.Probed(start, server, placement.Silent, true)) // callers get answers meanwhile
+	is.True(!answering.Ended(server))
+
 	var refused placement.Reach
 	is.True(refused.Probed(start, server, placement.Refused, false)) // it has certainly ended
 }
