--- a/faultmatrix/checks.go
+++ b/faultmatrix/checks.go
@@ -157,8 +157,8 @@
 	}
 }
 
-func (c *checks) coldLoad(s *server, recent int) {
-	if bound := int(coldRate * coldWindow.Seconds()); recent > bound {
+func (c *checks) coldLoad(s *server, recent, bound int) {
+	if recent > bound {
 		c.fail(PromiseCold, "%s got %d in a second while cold, bound %d", s.id, recent, bound)
 	}
 }
--- a/faultmatrix/layout.go
+++ b/faultmatrix/layout.go
@@ -63,10 +63,19 @@
 		Address:       address,
 		HealthAddress: netip.AddrPortFrom(address.Addr(), port+100),
 		ColdRate:      coldRate,
-		WarmupTime:    2 * time.Second,
+		WarmupTime:    warmupTime(service),
 	}
 }
 
+// warmupTime is long where requests run, so that the bound on new work hardly grows
+// while it is checked.
+func warmupTime(service fleet.ServiceName) time.Duration {
+	if service == serviceScores {
+		return 20 * time.Second
+	}
+	return 2 * time.Second
+}
+
 func cloneSet(set config.Set) config.Set {
 	set.DataCentres = slices.Clone(set.DataCentres)
 	set.Services = slices.Clone(set.Services)
--- a/faultmatrix/server.go
+++ b/faultmatrix/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/rattanthread/rattanthread/backend"
@@ -12,6 +13,10 @@
 // coldTime is how long a restarted server bears little.
 const coldTime = 2 * time.Second
 
+// warmupDoublings is how often what a cold server bears doubles within its warm-up
+// time.
+const warmupDoublings = 4.0
+
 // coldWindow is the span over which a cold server's load is compared with what
 // it bears.
 const coldWindow = time.Second
@@ -91,7 +96,13 @@
 			recent++
 		}
 	}
-	s.world.checks.coldLoad(s, recent)
+	s.world.checks.coldLoad(s, recent, s.bears(now))
+}
+
+// bears is the new work in a second that a cold server bears by now.
+func (s *server) bears(now time.Time) int {
+	atWork := now.Sub(s.coldWork[0]).Seconds() / s.object.WarmupTime.Seconds()
+	return int(coldRate * coldWindow.Seconds() * math.Exp2(warmupDoublings*atWork))
 }
 
 // packet takes one packet of a flow and answers the caller directly.
