--- a/flow/copy.go
+++ b/flow/copy.go
@@ -191,7 +191,7 @@
 		return
 	}
 	for _, r := range f.halfOpen {
-		if r.flags != 0 && r.flags&recordGuess == 0 && now-r.seen <= halfOpenLife {
+		if r.flags != 0 && now-r.seen <= halfOpenLife {
 			records := b.service(s)
 			records.HalfOpen = addFlow(records.HalfOpen, s.serverID(r.server), r.hash)
 		}
--- a/flow/fetch.go
+++ b/flow/fetch.go
@@ -176,7 +176,7 @@
 		if server == noServer || server == s.agreed[state.slot] {
 			continue
 		}
-		state.live.addHalfOpen(halfOpenRecord{record: record{hash: hash, seen: seconds(now), server: server, flags: recordGuess}})
+		state.live.addHalfOpen(halfOpenRecord{record: record{hash: hash, seen: seconds(now), server: server}})
 	}
 }
 
@@ -337,7 +337,7 @@
 		server := s.serverIndex(flows.Server)
 		for _, hash := range flows.Flows {
 			if state := s.splits[slotOf(hash)]; state != nil && server != noServer {
-				state.live.addHalfOpen(halfOpenRecord{record: record{hash: hash, seen: seconds(now), server: server, flags: recordGuess}})
+				state.live.addHalfOpen(halfOpenRecord{record: record{hash: hash, seen: seconds(now), server: server}})
 			}
 		}
 	}
--- a/flow/inquiry.go
+++ b/flow/inquiry.go
@@ -155,7 +155,7 @@
 		b.addEstablished(s, *r)
 		return
 	}
-	if r := f.halfOpen.find(hash, now); r != nil && r.flags&recordGuess == 0 {
+	if r := f.halfOpen.find(hash, now); r != nil {
 		records := b.service(s)
 		records.HalfOpen = addFlow(records.HalfOpen, s.serverID(r.server), hash)
 	}
--- a/flow/records.go
+++ b/flow/records.go
@@ -16,7 +16,6 @@
 	recordUsed   recordFlags = 1 << iota
 	recordClosed             // a FIN or RST was seen
 	recordCopy               // copied from the slot's owner
-	recordGuess              // the server that a former owner would have chosen
 )
 
 const (
