Start from lists that may be old, and what has changed since

Ruled out: learning from a host that is up (at the start of all hosts nobody knows; the lists of 24 feeds take a weak host of 20 Mbit/s longer than its own read).

Change: a first list is serializable. Its version is that of its latest record (of the page where that is oldest), not the revision that the answer names, as the pages don't say whether that one is the data's: a watch from there tells all that has changed since, and both are taken in together. If the history is gone the list is read again, linearizable.

--- a/entry/reader.go
+++ b/entry/reader.go
@@ -16,6 +16,11 @@
 	store    *platform.Store
 	follower catalogue.Follower
 	listing  catalogue.Listing
+	// old is a list that may be seconds old: what has changed since is asked for
+	// before it is used.
+	old *catalogue.Answer
+	// exact says that the store has forgotten what has changed since an old list.
+	exact bool
 }
 
 func (r *storeReader) run(ctx context.Context) error {
@@ -24,7 +29,7 @@
 			continue
 		}
 		r.follower.Bound = r.host.bound(r.follower.Source)
-		answer, err := r.ask(ctx, r.follower.Next())
+		answers, err := r.ask(ctx, r.follower.Next())
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -32,14 +37,15 @@
 			r.failed(ctx, err)
 			continue
 		}
-		if r.follower.Answered(answer.Version) {
-			r.host.log.Line("store_regained", "source", answer.Source.String(), "version", answer.Version)
+		last := answers[len(answers)-1]
+		if r.follower.Answered(last.Version) {
+			r.host.log.Line("store_regained", "source", last.Source.String(), "version", last.Version)
 		}
 		select {
-		case r.host.answers <- []catalogue.Answer{answer}:
+		case r.host.answers <- answers:
 		case <-ctx.Done():
 		}
-		pause(ctx, r.follower.Rest(r.host.network.Now(), len(answer.Records) > 0))
+		pause(ctx, r.follower.Rest(r.host.network.Now(), len(last.Records) > 0))
 	}
 	return nil
 }
@@ -62,13 +68,43 @@
 		return false
 	}
 	r.listing.Reset()
+	r.old = nil
 	pause(ctx, rest)
 	return true
 }
 
-func (r *storeReader) ask(ctx context.Context, call catalogue.Call) (catalogue.Answer, error) {
+func (r *storeReader) ask(ctx context.Context, call catalogue.Call) ([]catalogue.Answer, error) {
+	if call.Whole && !r.exact {
+		return r.askOld(ctx, call)
+	}
+	answer, err := r.askOne(ctx, call, platform.Linearizable)
+	return []catalogue.Answer{answer}, err
+}
+
+// askOld reads a first list, which may be seconds old, and what has changed since.
+// Together that is as recent as any watch, at a fifth of the price of a recent list.
+func (r *storeReader) askOld(ctx context.Context, call catalogue.Call) ([]catalogue.Answer, error) {
+	if r.old == nil {
+		list, err := r.askOne(ctx, call, platform.Serializable)
+		if err != nil {
+			return nil, err
+		}
+		r.old = &list
+	}
+	call.Whole, call.After = false, r.old.Version
+	changes, err := r.askOne(ctx, call, platform.Serializable)
+	if err != nil {
+		return nil, err
+	}
+	answers := []catalogue.Answer{*r.old, changes}
+	r.old = nil
+	return answers, nil
+}
+
+// askOne makes one call and notes how it ended.
+func (r *storeReader) askOne(ctx context.Context, call catalogue.Call, c platform.Consistency) (catalogue.Answer, error) {
 	asked := r.host.network.Now()
-	answer, err := r.call(ctx, call)
+	answer, err := r.call(ctx, call, c)
 	answered := r.host.network.Now()
 	result, waited := "ok", call.Wait
 	if err != nil {
@@ -87,9 +123,9 @@
 	return answer, err
 }
 
-func (r *storeReader) call(ctx context.Context, call catalogue.Call) (catalogue.Answer, error) {
+func (r *storeReader) call(ctx context.Context, call catalogue.Call, c platform.Consistency) (catalogue.Answer, error) {
 	if call.Whole {
-		return r.list(ctx, call)
+		return r.list(ctx, call, c)
 	}
 	ctx, cancel := context.WithTimeout(ctx, call.Timeout)
 	defer cancel()
@@ -99,11 +135,11 @@
 // list reads all records, from the page on at which it failed last. A page that
 // takes longer than the timeout ends it, so that a long list may take its time and
 // a silent store is noticed.
-func (r *storeReader) list(ctx context.Context, call catalogue.Call) (catalogue.Answer, error) {
+func (r *storeReader) list(ctx context.Context, call catalogue.Call, c platform.Consistency) (catalogue.Answer, error) {
 	for {
 		asked := r.host.network.Now()
 		reading, cancel := context.WithTimeout(ctx, call.Timeout)
-		page, next, err := r.store.Page(reading, call.Source, r.listing.After())
+		page, next, err := r.store.Page(reading, call.Source, r.listing.After(), c)
 		cancel()
 		if err != nil {
 			return page, err
@@ -135,6 +171,7 @@
 		r.host.log.Line("history_gone", "source", source)
 		r.follower.Forgotten()
 		r.listing.Reset()
+		r.old, r.exact = nil, true
 		return
 	}
 	wait, lost := r.follower.Failed()
--- a/platformstandin/checks_test.go
+++ b/platformstandin/checks_test.go
@@ -33,7 +33,7 @@
 		return
 	}
 	go func() {
-		answer, _, err := r.store.Page(t.Context(), catalogue.Servers, "")
+		answer, _, err := r.store.Page(t.Context(), catalogue.Servers, "", platform.Linearizable)
 		if err != nil {
 			return
 		}
--- a/platformstandin/report.go
+++ b/platformstandin/report.go
@@ -17,8 +17,10 @@
 	Broken []string
 	// Unready is how many hosts that ran at the end took no traffic.
 	Unready int
-	// Calls is how many calls the store has had.
+	// Calls is how many calls the store has had, and Price what those that it served
+	// have cost, in calls that are not serializable.
 	Calls int
+	Price float64
 	// Seconds holds the credit earned and owed in each second.
 	Seconds []Credit
 }
@@ -80,7 +82,7 @@
 			_, err = fmt.Fprintf(w, format+"\n", args...)
 		}
 	}
-	line("worth %.3f  served %.4f  store calls %d", r.Worth(), r.Served(), r.Calls)
+	line("worth %.3f  served %.4f  store calls %d, price %.1f", r.Worth(), r.Served(), r.Calls, r.Price)
 	line("%-8s %7s %7s %6s %7s %9s %9s", "class", "asked", "in time", "late", "failed", "p50 ms", "p99 ms")
 	for _, name := range []string{"feed", "order", "sheet"} {
 		if c := r.Classes[name]; c != nil {
@@ -201,5 +203,6 @@
 	report := s.report0
 	report.Broken = slices.Clone(s.report0.Broken)
 	report.Calls = s.Store.Calls()
+	report.Price = s.Store.Price()
 	return &report
 }
--- a/platformstandin/store.go
+++ b/platformstandin/store.go
@@ -55,6 +55,7 @@
 	// refused holds the faults of single hosts.
 	refused map[string]Faults
 	calls   int
+	price   int
 }
 
 // Meta describes an object.
@@ -241,15 +242,19 @@
 	switch r.Method {
 	case http.MethodGet:
 	case http.MethodDelete:
+		s.charge(false)
 		s.remove(w, r, kind)
 		return
 	default:
+		s.charge(false)
 		s.write(w, r, kind)
 		return
 	}
 	query := r.URL.Query()
+	serializable := query.Get("serializable") == "1"
+	s.charge(serializable)
 	if !query.Has("watch") {
-		writeJSON(w, s.list(kind, query.Get("after")))
+		writeJSON(w, s.list(kind, query.Get("after"), serializable))
 		return
 	}
 	after, err := strconv.ParseUint(query.Get("watch"), 10, 64)
@@ -300,14 +305,65 @@
 	writeJSON(w, object)
 }
 
+// A call has a price, in tenths of one that is not serializable.
+const (
+	price             = 10
+	serializablePrice = 1
+)
+
+func (s *Store) charge(serializable bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if serializable {
+		s.price += serializablePrice
+	} else {
+		s.price += price
+	}
+}
+
+// Price returns what the calls that were served have cost, in calls that are not
+// serializable.
+func (s *Store) Price() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return float64(s.price) / price
+}
+
+// objectsAt returns the objects of a kind as a replica sees them that lags. Its revision
+// may be that of the store itself. What the history doesn't tell is as it is now.
+func (s *Store) objectsAt(kind string, lag time.Duration) map[string]Object {
+	objects := make(map[string]Object)
+	if lag == 0 || s.forgotten > 0 {
+		for name, object := range s.objects[kind] {
+			objects[name] = *object
+		}
+		return objects
+	}
+	for _, e := range s.history {
+		switch {
+		case time.Since(e.at) < lag || e.kind != kind:
+		case e.deleted:
+			delete(objects, e.object.Meta.Name)
+		default:
+			objects[e.object.Meta.Name] = e.object
+		}
+	}
+	return objects
+}
+
 // pageItems is how many objects a page of a list has at most.
 const pageItems = 500
 
-func (s *Store) list(kind, after string) any {
+func (s *Store) list(kind, after string, serializable bool) any {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	lag := time.Duration(0)
+	if serializable {
+		lag = s.faults.Stale
+	}
+	objects := s.objectsAt(kind, lag)
 	var names []string
-	for name := range s.objects[kind] {
+	for name := range objects {
 		if name > after {
 			names = append(names, name)
 		}
@@ -316,7 +372,7 @@
 	more := len(names) > pageItems
 	items := []Object{}
 	for _, name := range names[:min(len(names), pageItems)] {
-		items = append(items, *s.objects[kind][name])
+		items = append(items, objects[name])
 	}
 	return map[string]any{"items": items, "more": more, "current_rev": s.revision}
 }
--- a/platformstandin/trouble.go
+++ b/platformstandin/trouble.go
@@ -47,6 +47,7 @@
 		{"seeds_start_blind", "the hosts that others ask first are killed while the store is away", func(s *Site) {
 			s.startBlind(s.hosts[:len(s.hosts)-1], 2*time.Second)
 		}},
+		{"hosts_start_stale", "all hosts are killed just after a zone was taken out, and serializable reads lag by 1 s", (*Site).startStale},
 		{"most_start_blind", "all but one host of each zone are killed while the store turns all away", (*Site).mostStartBlind},
 	}
 }
@@ -377,6 +378,22 @@
 	s.Store.SetFaults(Faults{})
 }
 
+// startStale lets all hosts start from lists that don't tell what was changed last.
+func (s *Site) startStale() {
+	time.Sleep(3 * time.Second)
+	s.Store.SetFaults(Faults{Stale: time.Second})
+	zone := s.Zones[0]
+	s.Evacuate(zone)
+	s.locked(func() { s.replace(s.targets[len(s.targets)-1]) })
+	time.Sleep(200 * time.Millisecond)
+	s.kill(s.hosts)
+	time.Sleep(300 * time.Millisecond)
+	s.restart()
+	time.Sleep(2 * troubleTime)
+	s.Store.SetFaults(Faults{})
+	s.Return(zone)
+}
+
 // mostStartBlind leaves each zone its last host.
 func (s *Site) mostStartBlind() {
 	time.Sleep(3 * time.Second)
