Count and log datagrams that can't be sent, and settings that can't be read

Both errors were dropped: a host whose sends fail, or whose settings file is gone, said nothing. Lines go through the log's budget; that of the settings comes once for each fault. Tests red before (no counter; no line).

--- a/entry/export_test.go
+++ b/entry/export_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync/atomic"
 
 	"github.com/hashicorp/go-hclog"
@@ -89,3 +90,20 @@
 	h.subscribe(ctx, subscription{subscriber: &subscriber{}, leaves: true})
 	return asked - int(refused.Load())
 }
+
+// SendFailures sends a datagram and returns how many sends have failed.
+func SendFailures(network Network, logger hclog.Logger) float64 {
+	h := &Host{network: network, metrics: newMetrics()}
+	h.log.Logger, h.log.Now = logger, network.Now
+	h.send(nil, netip.AddrPort{})
+	families, err := h.metrics.registry.Gather()
+	if err != nil {
+		panic(err)
+	}
+	for _, family := range families {
+		if family.GetName() == "rattanthread_send_failures_total" {
+			return family.GetMetric()[0].GetCounter().GetValue()
+		}
+	}
+	return 0
+}
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -20,6 +20,7 @@
 	registry  *prometheus.Registry
 	decisions [forwarding.ReasonCount]prometheus.Counter
 	malformed prometheus.Counter
+	unsent    prometheus.Counter
 	reset     *prometheus.CounterVec
 	suspected *prometheus.CounterVec
 	probes    *prometheus.CounterVec
@@ -59,6 +60,7 @@
 		m.decisions[reason] = decisions.WithLabelValues(reason.String())
 	}
 	m.malformed = vec("malformed_packets_total", "Packets that could not be read.").WithLabelValues()
+	m.unsent = vec("send_failures_total", "Datagrams that could not be sent.").WithLabelValues()
 	m.reset = vec("flows_reset_total", "Flows that were reset before their caller sent on them, by reason.", "reason")
 	m.suspected = vec("suspicions_total", "Suspicions of servers that were raised or cleared.", "change")
 	m.probes = vec("probes_total", "Probes of servers, by result.", "result")
--- a/entry/packets.go
+++ b/entry/packets.go
@@ -92,7 +92,7 @@
 	switch d.Action {
 	case forwarding.Forward:
 		platform.Address(datagram, d.Server.Tag, d.Cookie)
-		_ = h.network.Send(datagram, d.Server.Address)
+		h.send(datagram, d.Server.Address)
 	case forwarding.Refuse:
 		h.reset(p)
 	case forwarding.Drop:
@@ -115,7 +115,15 @@
 func (h *Host) reset(p forwarding.Packet) {
 	var buffer [platform.HeaderBytes]byte
 	port := h.Settings.Listen.Packets.Port()
-	_ = h.network.Send(platform.AppendReset(buffer[:0], p), netip.AddrPortFrom(p.Source.Addr(), port))
+	h.send(platform.AppendReset(buffer[:0], p), netip.AddrPortFrom(p.Source.Addr(), port))
+}
+
+// send sends a datagram. One that can't be sent is lost, as any may be on its way.
+func (h *Host) send(datagram []byte, to netip.AddrPort) {
+	if err := h.network.Send(datagram, to); err != nil {
+		h.metrics.unsent.Inc()
+		h.log.Line("send_failed", "to", to, "error", err)
+	}
 }
 
 // resetFlows ends the flows of a server that can't serve them any more.
--- a/entry/tree_test.go
+++ b/entry/tree_test.go
@@ -1,9 +1,11 @@
 package entry_test
 
 import (
+	"bytes"
 	"context"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -99,3 +101,13 @@
 	answer := catalogue.Answer{Source: catalogue.Configurations, Whole: true, Version: 3, Records: []catalogue.Record{bad}}
 	is.True(entry.TakeFirst(t.Context(), idle(), answer))
 }
+
+func TestFailedSendIsCounted(t *testing.T) {
+	is := is.New(t)
+	network := idle()
+	is.Equal(entry.SendFailures(network, hclog.NewNullLogger()), 0.0)
+	network.Send = func([]byte, netip.AddrPort) error { return errLost }
+	var log bytes.Buffer
+	is.Equal(entry.SendFailures(network, hclog.New(&hclog.LoggerOptions{Output: &log})), 1.0)
+	is.True(strings.Contains(log.String(), "send_failed"))
+}
--- a/entry/watcher.go
+++ b/entry/watcher.go
@@ -22,6 +22,8 @@
 	changed chan Settings
 
 	last []byte
+	// unreadable is the last fault of the file itself.
+	unreadable string
 }
 
 func (w *settingsWatcher) run(ctx context.Context) {
@@ -30,7 +32,7 @@
 	defer signal.Stop(hangups)
 	tick := time.NewTicker(settingsPause)
 	defer tick.Stop()
-	w.last, _ = os.ReadFile(w.path)
+	w.last, _ = w.read()
 	for {
 		select {
 		case <-ctx.Done():
@@ -44,8 +46,8 @@
 
 // look reads the file and passes on what has changed.
 func (w *settingsWatcher) look(ctx context.Context) {
-	data, err := os.ReadFile(w.path)
-	if err != nil || bytes.Equal(data, w.last) {
+	data, ok := w.read()
+	if !ok || bytes.Equal(data, w.last) {
 		return
 	}
 	w.last = data
@@ -59,3 +61,18 @@
 	case <-ctx.Done():
 	}
 }
+
+// read returns the content of the file. That it can't be read is reported once; the
+// settings in force stay.
+func (w *settingsWatcher) read() ([]byte, bool) {
+	data, err := os.ReadFile(w.path)
+	if err == nil {
+		w.unreadable = ""
+		return data, true
+	}
+	if w.unreadable != err.Error() {
+		w.unreadable = err.Error()
+		w.logger.Warn("settings_unreadable", "error", err)
+	}
+	return nil, false
+}
--- a/entry/watcher_test.go
+++ b/entry/watcher_test.go
@@ -36,3 +36,23 @@
 	is.Equal(len(w.Changed()), 0) // settings with a fault are not used
 	is.True(strings.Contains(log.String(), "settings_refused"))
 }
+
+func TestUnreadableSettings(t *testing.T) {
+	is := is.New(t)
+	good, err := os.ReadFile(goodFile)
+	is.NoErr(err)
+	path := filepath.Join(t.TempDir(), "entry.toml")
+	var log bytes.Buffer
+	w := entry.NewWatcher(path, good, hclog.New(&hclog.LoggerOptions{Output: &log}))
+	w.Look(t.Context())
+	w.Look(t.Context())
+	is.Equal(strings.Count(log.String(), "settings_unreadable"), 1) // reported once
+	is.True(strings.Contains(log.String(), "entry.toml"))
+
+	is.NoErr(os.WriteFile(path, good, 0o600))
+	w.Look(t.Context())
+	is.Equal(len(w.Changed()), 0) // the settings in force stay
+	is.NoErr(os.Remove(path))
+	w.Look(t.Context())
+	is.Equal(strings.Count(log.String(), "settings_unreadable"), 2)
+}
