Tell a host everything if removals may be missing, and pass on those of unknown servers

Change: removals are remembered from the latest whole answer on (before: from the first), so a host with less is told all; a removal of an unknown server is remembered.

--- a/catalogue/tracker.go
+++ b/catalogue/tracker.go
@@ -275,10 +275,8 @@
 		t.gone = make(map[Cookie]time.Time)
 	}
 	changed := a.Whole
-	if a.Whole && t.removed.base == 0 {
-		t.removed.base = a.Version
-	}
 	if a.Whole {
+		t.removed.base = max(t.removed.base, a.Version) // it doesn't name those removed before
 		t.lapseMissing(now, a.Records, a.Version)
 	}
 	for _, record := range a.Records {
@@ -355,6 +353,7 @@
 	}
 	if record.Removed {
 		if held == nil || !held.lapsed.IsZero() {
+			t.removed.add(record.Name, t.versions[Servers]) // a host that learns from this one may know it
 			return false
 		}
 		t.lapse(now, record.Name, held, record.Changed)
