--- a/entry/export_test.go
+++ b/entry/export_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"net/netip"
 	"sync/atomic"
+	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/rattanthread/rattanthread/catalogue"
@@ -107,3 +109,21 @@
 	}
 	return 0
 }
+
+// TakeUpdate reads a message of a feed as a host does, and lets a tracker take it in.
+func TakeUpdate(now time.Time, message []byte) (*catalogue.Catalogue, error) {
+	u, err := decodeUpdate(message)
+	if err != nil {
+		return nil, err
+	}
+	var tracker catalogue.Tracker
+	for _, a := range u.answers(now) {
+		tracker.Take(now, a)
+	}
+	return tracker.Current(), nil
+}
+
+// EncodeUpdate returns a message of a feed.
+func EncodeUpdate(answers ...catalogue.Answer) ([]byte, error) {
+	return cbor.Marshal(update{Answers: answers})
+}
--- a/entry/feed.go
+++ b/entry/feed.go
@@ -305,8 +305,8 @@
 	if err != nil {
 		return errors.Wrap(err, "receive update")
 	}
-	var u update
-	if err := cbor.Unmarshal(message, &u); err != nil {
+	u, err := decodeUpdate(message)
+	if err != nil {
 		return errors.Wrap(err, "decode update")
 	}
 	now := h.network.Now()
@@ -323,6 +323,26 @@
 	return nil
 }
 
+// decodeUpdate reads an update of another host. One that no host of the product
+// sends is an error.
+func decodeUpdate(message []byte) (update, error) {
+	var u update
+	if err := cbor.Unmarshal(message, &u); err != nil {
+		return update{}, err
+	}
+	for _, a := range u.Answers {
+		if a.Source < 0 || int(a.Source) >= catalogue.SourceCount {
+			return update{}, errors.Errorf("source %d", int(a.Source))
+		}
+	}
+	for source, age := range u.Ages {
+		if age < 0 {
+			return update{}, errors.Errorf("age %s of source %d", age, source)
+		}
+	}
+	return u, nil
+}
+
 // answers returns an update as answers of the store.
 func (u *update) answers(now time.Time) []catalogue.Answer {
 	answers := u.Answers
--- /dev/null
+++ b/entry/update_test.go
@@ -0,0 +1,71 @@
+package entry_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/matryer/is"
+
+	"github.com/rattanthread/rattanthread/catalogue"
+	"github.com/rattanthread/rattanthread/entry"
+	"github.com/rattanthread/rattanthread/fleet"
+)
+
+var known = time.Unix(1000, 0)
+
+func TestUpdateThatNoHostSends(t *testing.T) {
+	tests := []struct {
+		name    string
+		message any
+	}{
+		{"no map", 5},
+		{"an unknown source", map[string]any{"answers": []catalogue.Answer{{Source: 200}}}},
+		{"a source below all", map[string]any{"answers": []catalogue.Answer{{Source: -1}}}},
+		{"an age below 0", map[string]any{"ages": []time.Duration{0, -time.Second, 0, 0}}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			message, err := cbor.Marshal(test.message)
+			is.NoErr(err)
+			_, err = entry.TakeUpdate(known, message)
+			is.True(err != nil)
+		})
+	}
+}
+
+// FuzzUpdate takes in messages of a feed and places a flow by what they say.
+func FuzzUpdate(f *testing.F) {
+	address := netip.MustParseAddrPort("198.18.0.1:443")
+	configuration := catalogue.Configuration{Number: 1, Routes: []catalogue.Route{
+		{Name: "feed", Address: address, Shares: []catalogue.Share{{Service: "bench", Weight: 1}}},
+	}}
+	server := catalogue.Server{ID: "i-01", Service: "bench", Address: address, DataCentre: "a", Tag: 1, Changed: 3}
+	whole := []catalogue.Answer{
+		{Source: catalogue.Configurations, Whole: true, Version: 2, Records: []catalogue.Record{{Name: "main", Changed: 2, Configuration: &configuration}}},
+		{Source: catalogue.Servers, Whole: true, Version: 3, Records: []catalogue.Record{{Name: "i-01", Changed: 3, Server: &server}}},
+		{Source: catalogue.Evacuations, Whole: true, Version: 4},
+	}
+	for _, answers := range [][]catalogue.Answer{
+		whole,
+		{{Source: catalogue.Hosts, Version: 4, Records: []catalogue.Record{{Name: "front-a-1", Host: &fleet.Host{ID: "front-a-1"}}, {Name: "x", Removed: true}}}},
+		{{Source: catalogue.Evacuations, Version: 5, Records: []catalogue.Record{{Name: "a"}}}},
+	} {
+		message, err := entry.EncodeUpdate(answers...)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(message)
+	}
+	f.Fuzz(func(_ *testing.T, message []byte) {
+		c, err := entry.TakeUpdate(known, message)
+		if err != nil || !c.Ready() {
+			return
+		}
+		if route := c.Route(address); route != nil {
+			_ = c.Pool(c.Pick(route, 7)).All
+		}
+	})
+}
