--- /dev/null
+++ b/entry/alerts_test.go
@@ -0,0 +1,66 @@
+package entry_test
+
+import (
+	"os"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/rattanthread/rattanthread/entry"
+)
+
+var (
+	metricForm  = regexp.MustCompile(`(rattanthread_[a-z_]+)(?:\{([^}]*)\})?`)
+	matcherForm = regexp.MustCompile(`([a-z_]+)=~?"([^"]*)"`)
+	groupForm   = regexp.MustCompile(`by \(([^)]*)\)`)
+)
+
+// partsOfHistogram are what the name of a histogram is followed by in expressions.
+var partsOfHistogram = []string{"_bucket", "_sum", "_count"}
+
+// Alerts and the dashboard ask for metrics and labels that are exported.
+func TestAlertsNameWhatIsExported(t *testing.T) {
+	exported := entry.ExportedMetrics()
+	for _, file := range []string{"../deploy/alerts.yml", "../deploy/dashboard.json"} {
+		t.Run(file, func(t *testing.T) {
+			is := is.New(t)
+			data, err := os.ReadFile(file)
+			is.NoErr(err)
+			text := strings.ReplaceAll(string(data), `\"`, `"`)
+			used := metricForm.FindAllStringSubmatch(text, -1)
+			is.True(len(used) > 5)
+			var labels []string
+			for _, metric := range used {
+				known, ok := exported[baseName(metric[1])]
+				if !ok {
+					t.Errorf("%s is not exported", metric[1])
+				}
+				labels = append(labels, known...)
+				for _, matcher := range matcherForm.FindAllStringSubmatch(metric[2], -1) {
+					if !slices.Contains(known, matcher[1]) {
+						t.Errorf("%s has no label %s", metric[1], matcher[1])
+					}
+				}
+			}
+			for _, group := range groupForm.FindAllStringSubmatch(text, -1) {
+				for label := range strings.SplitSeq(group[1], ", ") {
+					if !slices.Contains(append(labels, "instance", "le"), label) {
+						t.Errorf("no metric has a label %s", label)
+					}
+				}
+			}
+		})
+	}
+}
+
+func baseName(metric string) string {
+	for _, part := range partsOfHistogram {
+		if name, ok := strings.CutSuffix(metric, part); ok {
+			return name
+		}
+	}
+	return metric
+}
--- a/entry/export_test.go
+++ b/entry/export_test.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"net/netip"
+	"regexp"
+	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/hashicorp/go-hclog"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/rattanthread/rattanthread/catalogue"
 	"github.com/rattanthread/rattanthread/placement"
@@ -127,3 +130,20 @@
 func EncodeUpdate(answers ...catalogue.Answer) ([]byte, error) {
 	return cbor.Marshal(update{Answers: answers})
 }
+
+// descriptionForm is how the metrics' library prints a description.
+var descriptionForm = regexp.MustCompile(`fqName: "([^"]+)".*variableLabels: \{([^}]*)\}`)
+
+// ExportedMetrics returns the metrics of a host with their labels.
+func ExportedMetrics() map[string][]string {
+	descriptions := make(chan *prometheus.Desc, 64)
+	newMetrics().registry.Describe(descriptions)
+	close(descriptions)
+	exported := make(map[string][]string)
+	for d := range descriptions {
+		if parts := descriptionForm.FindStringSubmatch(d.String()); parts != nil {
+			exported[parts[1]] = strings.Split(parts[2], ",")
+		}
+	}
+	return exported
+}
