--- a/flow/decide.go
+++ b/flow/decide.go
@@ -70,9 +70,6 @@
 		reason = ReasonReused
 	}
 	if r := f.halfOpen.find(d.hash, seconds(d.now)); r != nil && d.continues(r) {
-		if d.misplaced(r) && d.inquire() {
-			return Decision{Service: d.view.name, Reason: ReasonInquiring}
-		}
 		return d.opening(r)
 	}
 	switch {
--- a/flow/fetch.go
+++ b/flow/fetch.go
@@ -193,12 +193,11 @@
 	return noServer
 }
 
-// addHalfOpen adds a half-open flow that is not known yet, or about which other hosts
-// were asked.
+// addHalfOpen adds a half-open flow that is not known yet.
 func (f *slotFlows) addHalfOpen(r halfOpenRecord) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.halfOpen == nil || f.records.find(r.hash) != nil || f.halfOpen.find(r.hash, r.seen) != nil && !f.inquires(r.hash) {
+	if f.halfOpen == nil || f.records.find(r.hash) != nil || f.halfOpen.find(r.hash, r.seen) != nil {
 		return
 	}
 	f.halfOpen.insert(r)
--- a/flow/inquiry.go
+++ b/flow/inquiry.go
@@ -60,15 +60,8 @@
 	return d.first() != halfOpen
 }
 
-// misplaced reports whether a flow whose opening packet this host has sent to another
-// data centre may have been opened elsewhere: that one may have been cut off.
-func (d *decider) misplaced(r *halfOpenRecord) bool {
-	return d.router.doubtful.Load() && !d.first() && d.view.server(r.server).far
-}
-
 // awaits reports whether the answers to an inquiry may still come. If none came,
-// a flow of which nothing is known is recorded as one of the agreed server, so that none
-// is asked again.
+// the flow is recorded as one of the agreed server, so that none is asked again.
 func (d *decider) awaits(i int) bool {
 	f := d.split.live
 	if d.now.Sub(f.inquiries[i].since) < inquiryWait {
@@ -76,18 +69,13 @@
 	}
 	f.inquiries = slices.Delete(f.inquiries, i, i+1)
 	agreed := d.split.agreed
-	if f.halfOpen.find(d.hash, seconds(d.now)) == nil && agreed != noServer && d.view.server(agreed).usable() && d.router.hasRoom() {
+	if agreed != noServer && d.view.server(agreed).usable() && d.router.hasRoom() {
 		f.records.insert(record{hash: d.hash, seen: seconds(d.now), server: agreed})
 		d.router.count.Add(1)
 	}
 	return false
 }
 
-// inquires reports whether other hosts were asked about a flow.
-func (f *slotFlows) inquires(hash uint64) bool {
-	return slices.ContainsFunc(f.inquiries, func(q inquiry) bool { return q.hash == hash })
-}
-
 // expireInquiries drops those whose flows send nothing more.
 func (f *slotFlows) expireInquiries(now time.Time) {
 	f.inquiries = slices.DeleteFunc(f.inquiries, func(q inquiry) bool {
@@ -167,7 +155,7 @@
 		b.addEstablished(s, *r)
 		return
 	}
-	if r := f.halfOpen.find(hash, now); r != nil && !s.servers[r.server].far {
+	if r := f.halfOpen.find(hash, now); r != nil {
 		records := b.service(s)
 		records.HalfOpen = addFlow(records.HalfOpen, s.serverID(r.server), hash)
 	}
--- a/flow/service.go
+++ b/flow/service.go
@@ -144,7 +144,6 @@
 			continue
 		}
 		s.servers[index] = newServerView(s, server)
-		s.servers[index].far = server.DataCentre != r.view.DataCentre
 		if server.Weight > 0 {
 			shares = append(shares, newShare(index, server.ID, server.Weight))
 		}
--- a/flow/snapshot.go
+++ b/flow/snapshot.go
@@ -65,8 +65,6 @@
 	weighted  bool
 	out       bool
 	gone      bool
-	// far means that the server is in another data centre than this host.
-	far bool
 }
 
 var goneServer = serverView{gone: true}
--- a/flow/view.go
+++ b/flow/view.go
@@ -11,8 +11,6 @@
 // their servers. Hosts that know the same compute the same tables.
 type View struct {
 	Self  fleet.HostID
-	// DataCentre is that of this host.
-	DataCentre fleet.DataCentreID
 	Hosts []fleet.HostID // live hosts, sorted
 	// Doubted are hosts, sorted, that may live and place flows without this host's
 	// knowledge, or did so until a moment ago: they were cut off.
