Keep each server's part of the admission digest, and add both digests up in one pass

Cause: since every step of control hashed the name and the admission of every server.

Change: the part is made when the admission changes; the digest stays the same.

Not measured alone.

--- a/backend/bound_test.go
+++ b/backend/bound_test.go
@@ -200,10 +200,15 @@
 	is := is.New(t)
 	c := warm(1)
 	a, b := c.nodes[0].pool, c.nodes[1].pool
-	is.Equal(a.AdmissionDigest(), b.AdmissionDigest())
+	is.Equal(admissionsOf(a), admissionsOf(b))
 	for range 3 {
 		a.Observe(c.now, backend.Evidence{Server: "s1", Kind: backend.EvidenceConnectFailed})
 	}
 	is.Equal(a.Admission("s1"), backend.AdmitNone)
-	is.True(a.AdmissionDigest() != b.AdmissionDigest())
+	is.True(admissionsOf(a) != admissionsOf(b))
+}
+
+func admissionsOf(p *backend.Pool) uint64 {
+	_, admissions := p.Digests()
+	return admissions
 }
--- a/backend/gossip.go
+++ b/backend/gossip.go
@@ -29,27 +29,33 @@
 // Digest returns a hash of the records that does not depend on their order.
 // Hosts with equal records of equal servers have equal digests.
 func (p *Pool) Digest() uint64 {
-	var sum uint64
+	records, _ := p.Digests()
+	return records
+}
+
+// Digests returns Digest and a digest of how servers admit new work at this host, which
+// depends on more than their records.
+func (p *Pool) Digests() (records, admissions uint64) {
 	for _, s := range p.servers {
 		if s.record.Sequence > 0 {
-			sum += s.digest
+			records += s.digest
 		}
+		admissions += s.admissionDigest
 	}
-	return sum
+	return records, admissions
 }
 
-// AdmissionDigest returns a digest of how servers admit new work at this host, which
-// depends on more than their records.
-func (p *Pool) AdmissionDigest() uint64 {
-	var sum uint64
-	for id, s := range p.servers {
-		var d xxhash.Digest
-		d.Reset()
-		_, _ = d.WriteString(string(id))
-		_, _ = d.Write([]byte{byte(s.tank.admitted())})
-		sum += d.Sum64()
+// admit sets how the server admits new work.
+func (s *server) admit(a Admission) {
+	if s.admissionDigest != 0 && s.tank.admitted() == a {
+		return
 	}
-	return sum
+	s.tank.set(a)
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(string(s.config.Name))
+	_, _ = d.Write([]byte{byte(a)})
+	s.admissionDigest = d.Sum64()
 }
 
 func (s *server) setRecord(r fleet.ServerRecord) {
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -63,6 +63,8 @@
 	promise  promise
 	served   uint64
 	tank     *tank
+	// admissionDigest is of how the server admits new work; zero until that is known.
+	admissionDigest uint64
 
 	// A server that comes back from draining is admitted by credit until a
 	// record newer than this one is known.
@@ -253,7 +255,7 @@
 		if s := p.servers[id]; s.keeping != nil {
 			sends = append(sends, s.handOver(now, rest)...)
 		}
-		p.servers[id].tank.set(AdmitNone)
+		p.servers[id].admit(AdmitNone)
 	}
 	for _, h := range rest {
 		sends = append(sends, fleet.Send{To: h, Message: &Leave{}})
@@ -303,7 +305,7 @@
 	if now.Before(s.heldUntil) {
 		admission = min(admission, s.held)
 	}
-	s.tank.set(admission)
+	s.admit(admission)
 }
 
 func (s *server) returning(now time.Time) bool {
--- a/control/refresh.go
+++ b/control/refresh.go
@@ -49,8 +49,8 @@
 	if c.doubts.due(now, members) {
 		c.doubts.observe(now, c.options.Self.DataCentre, c.members.Members())
 	}
-	records := c.servers.Digest()
-	state := membership.State{Revision: revised.Revision, Digest: records ^ stage*stageFactor ^ c.servers.AdmissionDigest()}
+	records, admissions := c.servers.Digests()
+	state := membership.State{Revision: revised.Revision, Digest: records ^ stage*stageFactor ^ admissions}
 	c.members.SetLocal(now, state)
 	next := installed{
 		members:  members,
