The follower says whether an old list will do

The reader of an entry host and the checker of views each kept a flag that the history was gone; the follower knows it already, and it is its decision. Both use the same one now.

--- a/catalogue/follower.go
+++ b/catalogue/follower.go
@@ -7,6 +7,8 @@
 	Source Source
 	// Whole asks for all records; otherwise for the changes after a version.
 	Whole bool
+	// Exact says that an old list won't do, as the changes since are forgotten.
+	Exact bool
 	After Version
 	// Wait is how long the store may wait for a change.
 	Wait time.Duration
@@ -63,7 +65,7 @@
 func (f *Follower) Next() Call {
 	// A call that takes long, as a long list over a slow link does, gets more time.
 	if f.version == 0 || f.forgotten {
-		return Call{Source: f.Source, Whole: true, Timeout: callTimeout * time.Duration(min(1+f.failed, maxPatience))}
+		return Call{Source: f.Source, Whole: true, Exact: f.forgotten, Timeout: callTimeout * time.Duration(min(1+f.failed, maxPatience))}
 	}
 	timeout := callTimeout * time.Duration(min(max(1, f.failed), maxPatience))
 	wait := LongestWait(f.Bound)
--- a/catalogue/follower_test.go
+++ b/catalogue/follower_test.go
@@ -31,9 +31,12 @@
 func TestForgottenHistoryIsListedAnew(t *testing.T) {
 	is := is.New(t)
 	f := catalogue.Follower{Bound: 3 * time.Second}
+	is.True(f.Next().Whole)
+	is.True(!f.Next().Exact) // an old list will do: what has changed since can be asked for
 	f.Answered(7)
 	f.Forgotten()
 	is.True(f.Next().Whole)
+	is.True(f.Next().Exact)
 }
 
 func TestVersionNeverGoesBack(t *testing.T) {
--- a/entry/reader.go
+++ b/entry/reader.go
@@ -19,8 +19,6 @@
 	// old is a list that may be seconds old: what has changed since is asked for
 	// before it is used.
 	old *catalogue.Answer
-	// exact says that the store has forgotten what has changed since an old list.
-	exact bool
 }
 
 func (r *storeReader) run(ctx context.Context) error {
@@ -74,7 +72,7 @@
 }
 
 func (r *storeReader) ask(ctx context.Context, call catalogue.Call) ([]catalogue.Answer, error) {
-	if call.Whole && !r.exact {
+	if call.Whole && !call.Exact {
 		return r.askOld(ctx, call)
 	}
 	answer, err := r.askOne(ctx, call, platform.Linearizable)
@@ -171,7 +169,7 @@
 		r.host.log.Line("history_gone", "source", source)
 		r.follower.Forgotten()
 		r.listing.Reset()
-		r.old, r.exact = nil, true
+		r.old = nil
 		return
 	}
 	wait, lost := r.follower.Failed()
--- a/viewcheck/host.go
+++ b/viewcheck/host.go
@@ -13,8 +13,7 @@
 type host struct {
 	tracker  catalogue.Tracker
 	follower catalogue.Follower
-	// exact and old are as in the reader of an entry host.
-	exact  bool
+	// old is as in the reader of an entry host.
 	old    *catalogue.Answer
 	parent *host
 	inbox  []catalogue.Answer
@@ -40,7 +39,7 @@
 	h.follower.Learned(h.version())
 	call := h.follower.Next()
 	switch {
-	case call.Whole && h.exact:
+	case call.Exact:
 		whole := p.list(p.store.revision, false)
 		p.take(h, whole)
 		h.follower.Answered(whole.Version)
@@ -55,7 +54,7 @@
 	changes, ok := p.store.watch(call.After, replica())
 	if !ok {
 		h.follower.Forgotten()
-		h.old, h.exact = nil, true
+		h.old = nil
 		return
 	}
 	if h.old != nil {
