--- a/entry/feed_test.go
+++ b/entry/feed_test.go
@@ -10,7 +10,6 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-faster/errors"
-	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
 
 	"github.com/rattanthread/rattanthread/entry"
@@ -86,12 +85,7 @@
 						Close: func() {},
 					}, nil
 				}
-				settings, err := entry.LoadSettings(goodFile)
-				is.NoErr(err)
-				h := entry.Host{Settings: settings, Logger: hclog.NewNullLogger(), Network: &network}
-				ctx, stop := context.WithCancel(t.Context())
-				ended := make(chan error, 1)
-				go func() { ended <- h.Run(ctx) }()
+				stop, ended := run(t, &network)
 				time.Sleep(3 * time.Second)
 				if test.lost {
 					site.Store.SetFaults(platformstandin.Faults{Outage: platformstandin.Busy})
--- a/entry/tree_test.go
+++ b/entry/tree_test.go
@@ -50,6 +50,20 @@
 	}
 }
 
+// run starts a host on a network. It ends after stop, and tells how.
+func run(t *testing.T, network *entry.Network) (stop context.CancelFunc, ended <-chan error) {
+	t.Helper()
+	settings, err := entry.LoadSettings(goodFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := entry.Host{Settings: settings, Logger: hclog.NewNullLogger(), Network: network}
+	ctx, stop := context.WithCancel(t.Context())
+	result := make(chan error, 1)
+	go func() { result <- h.Run(ctx) }()
+	return stop, result
+}
+
 type lostStore struct{}
 
 func (lostStore) RoundTrip(*http.Request) (*http.Response, error) { return nil, errLost }
@@ -74,12 +88,7 @@
 			<-ctx.Done()
 			return nil
 		}
-		settings, err := entry.LoadSettings(goodFile)
-		is.NoErr(err)
-		h := entry.Host{Settings: settings, Logger: hclog.NewNullLogger(), Network: &network}
-		ctx, stop := context.WithCancel(t.Context())
-		ended := make(chan error, 1)
-		go func() { ended <- h.Run(ctx) }()
+		stop, ended := run(t, &network)
 		time.Sleep(10 * time.Second)
 		is.Equal(metrics.Load(), int32(2))
 		is.Equal(readiness.Load(), int32(2))
--- a/platformstandin/trouble.go
+++ b/platformstandin/trouble.go
@@ -177,10 +177,15 @@
 
 func (s *Site) cutZone() {
 	time.Sleep(3 * time.Second)
-	s.locked(func() { s.cut[s.Zones[0]] = true })
-	time.Sleep(troubleTime)
+	s.cutFor(s.Zones[0], troubleTime)
+}
+
+// cutFor cuts a zone off from all others and from the store for a time.
+func (s *Site) cutFor(zone string, d time.Duration) {
+	s.locked(func() { s.cut[zone] = true })
+	time.Sleep(d)
 	s.locked(func() {
-		delete(s.cut, s.Zones[0])
+		delete(s.cut, zone)
 		s.harmed = time.Now()
 	})
 }
@@ -189,18 +194,13 @@
 func (s *Site) cutBareZone() {
 	time.Sleep(3 * time.Second)
 	s.locked(func() {
-		s.cut[s.Zones[0]] = true
 		for _, t := range s.targets {
 			if t.Zone == s.Zones[0] {
 				t.crash(Dark)
 			}
 		}
 	})
-	time.Sleep(troubleTime)
-	s.locked(func() {
-		delete(s.cut, s.Zones[0])
-		s.harmed = time.Now()
-	})
+	s.cutFor(s.Zones[0], troubleTime)
 }
 
 // cutZoneOut takes a zone out and cuts it off for a while.
@@ -208,12 +208,7 @@
 	time.Sleep(3 * time.Second)
 	s.Evacuate(s.Zones[0])
 	time.Sleep(time.Second)
-	s.locked(func() { s.cut[s.Zones[0]] = true })
-	time.Sleep(2 * troubleTime)
-	s.locked(func() {
-		delete(s.cut, s.Zones[0])
-		s.harmed = time.Now()
-	})
+	s.cutFor(s.Zones[0], 2*troubleTime)
 	time.Sleep(troubleTime / 2)
 	s.Return(s.Zones[0])
 }
