entry: Log and count what the store's epoch does to updates

Cause looked for: after the store returned from an older copy, a host neither takes the lists that it reads nor says so. An ignored update left no trace, and the header Store-Era was not read. No decision changes.

--- a/catalogue/configuration.go
+++ b/catalogue/configuration.go
@@ -7,9 +7,6 @@
 	"github.com/rattanthread/rattanthread/fleet"
 )
 
-// Version is a revision of the platform's store. It increases with each change.
-type Version uint64
-
 // Configuration is the configuration that operators have put in force.
 type Configuration struct {
 	Number uint64  `cbor:"number"`
--- a/catalogue/listing.go
+++ b/catalogue/listing.go
@@ -17,7 +17,7 @@
 // version of its pages, and starts again at the first page.
 func (l *Listing) Add(requested time.Time, page Update, next string) (Update, bool) {
 	if l.next == "" {
-		l.update = Update{Source: page.Source, Full: true, Version: page.Version, AsOf: requested}
+		l.update = Update{Source: page.Source, Full: true, Version: page.Version, Epoch: page.Epoch, AsOf: requested}
 	}
 	l.update.Version = min(l.update.Version, page.Version)
 	l.update.Records = append(l.update.Records, page.Records...)
--- a/catalogue/tracker.go
+++ b/catalogue/tracker.go
@@ -61,6 +61,8 @@
 	Records []Record `cbor:"records,omitempty"`
 	// Version is the store's revision that the records reflect.
 	Version Version `cbor:"version"`
+	// Epoch is the epoch of the store; zero for an update from a peer.
+	Epoch Epoch `cbor:"-"`
 	// AsOf is the time at which the records were current.
 	AsOf time.Time `cbor:"-"`
 }
@@ -94,13 +96,16 @@
 	ServerEnded
 	ConfigurationInForce
 	ConfigurationUnreadable
+	// ConfigurationIgnored is a configuration that is not newer than the one in force.
+	ConfigurationIgnored
 	DataCentreOut
 	DataCentreIn
 )
 
 var changeKindNames = [...]string{
 	"server_added", "server_restarted", "server_draining", "server_unreadable", "server_lapsed",
-	"server_ended", "configuration_in_force", "configuration_unreadable", "data_centre_out", "data_centre_in",
+	"server_ended", "configuration_in_force", "configuration_unreadable",
+	"configuration_ignored", "data_centre_out", "data_centre_in",
 }
 
 // String returns the name of the kind in snake case.
@@ -231,7 +236,11 @@
 		if record.Fault != "" {
 			t.addChange(Change{Kind: ConfigurationUnreadable, Name: record.Name, Version: record.Changed, Fault: record.Fault})
 		}
-		if record.Configuration == nil || record.Changed <= t.configurationVersion {
+		if record.Configuration == nil {
+			continue
+		}
+		if record.Changed <= t.configurationVersion {
+			t.addIgnoredConfiguration(record)
 			continue
 		}
 		t.configuration = record.Configuration
@@ -242,6 +251,14 @@
 	return changed
 }
 
+// addIgnoredConfiguration adds a change for a configuration that is ignored, unless it is
+// the one in force.
+func (t *Tracker) addIgnoredConfiguration(record Record) {
+	if record.Configuration.Number != t.configuration.Number {
+		t.addChange(Change{Kind: ConfigurationIgnored, Name: record.Name, Version: record.Changed, Number: record.Configuration.Number})
+	}
+}
+
 func (t *Tracker) applyEvacuations(update Update) bool {
 	next := maps.Clone(t.evacuated)
 	if update.Full || next == nil {
--- a/entry/control.go
+++ b/entry/control.go
@@ -73,6 +73,11 @@
 	newer := update.Version > before
 	c.host.record(Event{Update: &update})
 	changed := c.tracker.Apply(c.host.network.Now(), update)
+	if update.Version < before {
+		c.host.metrics.updatesIgnored.WithLabelValues(update.Source.String()).Inc()
+		c.host.log.Line("update_ignored", "source", update.Source.String(), "version", update.Version, "known", before,
+			"full", update.Full, "records", len(update.Records))
+	}
 	if !newer || len(c.subscribers) == 0 {
 		return changed
 	}
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -29,11 +29,13 @@
 	// announcements counts the announcements sent, by result.
 	announcements       *prometheus.CounterVec
 	restarts            prometheus.Counter
+	updatesIgnored      *prometheus.CounterVec
 	decisionDuration    prometheus.Histogram
 	configurationAge    prometheus.Histogram
 	callDuration        prometheus.Histogram
 	servers             prometheus.Gauge
 	configurationNumber prometheus.Gauge
+	storeEpoch          prometheus.Gauge
 }
 
 func newMetrics() *metrics {
@@ -67,12 +69,14 @@
 	m.calls = vec("store_calls_total", "Calls on the platform's store, by source and result.", "source", "result")
 	m.announcements = vec("announcements_total", "Hosts that were told that this one knows, while the store is lost.", "result")
 	m.upstreams = vec("upstream_total", "Changes of the host that this one learns from.", "change")
+	m.updatesIgnored = vec("updates_ignored_total", "Updates that were older than what the host has, by source.", "source")
 	m.restarts = vec("restarts_total", "Parts of the host that failed and were started again.").WithLabelValues()
 	m.decisionDuration = histogram("decision_seconds", "Time to decide on a packet; a sample.", 250e-9)
 	m.configurationAge = histogram("configuration_age_seconds", "Age of the configuration when a packet was decided on; a sample.", 0.01)
 	m.callDuration = histogram("store_call_seconds", "Time of a call on the store beyond the time it was told to wait.", 0.001)
 	m.servers = gauge("servers", "Backend servers that are known.")
 	m.configurationNumber = gauge("configuration_number", "Number of the configuration in force.")
+	m.storeEpoch = gauge("store_epoch", "Epoch of the platform's store; it rises with each restoration from an older copy.")
 	return m
 }
 
--- a/entry/reader.go
+++ b/entry/reader.go
@@ -19,6 +19,8 @@
 	// staleList is a list that may be seconds old. It is used only together with the changes
 	// since.
 	staleList *catalogue.Update
+	// epoch is the store's epoch in the last successful call.
+	epoch catalogue.Epoch
 }
 
 func (r *storeReader) run(ctx context.Context) error {
@@ -39,6 +41,7 @@
 		if r.follower.Succeeded(last.Version) {
 			r.host.log.Line("store_regained", "source", last.Source.String(), "version", last.Version)
 		}
+		r.logEpochChange(last)
 		select {
 		case r.host.updates <- updates:
 		case <-ctx.Done():
@@ -48,6 +51,15 @@
 	return nil
 }
 
+// logEpochChange logs the first update of an epoch.
+func (r *storeReader) logEpochChange(update catalogue.Update) {
+	if r.epoch != update.Epoch && r.epoch != 0 {
+		r.host.log.Line("source_restored", "source", update.Source.String(), "version", update.Version, "epoch", update.Epoch,
+			"full", update.Full, "records", len(update.Records))
+	}
+	r.epoch = update.Epoch
+}
+
 // pause waits for a duration or until ctx ends.
 func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
--- a/entry/tree.go
+++ b/entry/tree.go
@@ -57,6 +57,7 @@
 	store := platform.Store{
 		Address: func() string { return h.activeSettings.Load().Store.Address.String() },
 		HTTP:    &http.Client{Transport: h.network.Store},
+		OnEpoch: h.observeEpoch,
 	}
 	for source := range catalogue.Source(catalogue.SourceCount) {
 		reader := storeReader{host: h, store: &store, follower: catalogue.Follower{Source: source}}
