--- a/platformstandin/fault.go
+++ b/platformstandin/fault.go
@@ -39,6 +39,7 @@
 		{"store_slow", "the store responds 240 ms later", func(s *Site) { s.failStore(StoreFaults{Delay: 240 * time.Millisecond}) }},
 		{"store_stale", "serializable reads lag by 2 s", func(s *Site) { s.failStore(StoreFaults{ReadLag: 2 * time.Second}) }},
 		{"store_forgets", "the store drops its history while a target is replaced", (*Site).dropStoreHistory},
+		{"store_restored", "the store returns from a copy that is older than some changes, which are written again", (*Site).restoreStore},
 		{"store_refuses_hosts", "the store responds to one host in three with status 429", (*Site).failStoreForHosts},
 		{"records_lapse", "records of targets expire while the store is unavailable, and are written again", (*Site).expireRecords},
 		{"hosts_start_blind", "half of the hosts are restarted while the store is unavailable", func(s *Site) {
--- a/platformstandin/target.go
+++ b/platformstandin/target.go
@@ -34,8 +34,10 @@
 	// ServiceTime is the time that a request takes.
 	ServiceTime time.Duration
 
-	tag   uint64
-	state TargetState
+	tag uint64
+	// heartbeats is the number of heartbeats sent.
+	heartbeats int
+	state      TargetState
 	// since is when the state began.
 	since     time.Time
 	flows     map[flowID]*targetFlow
