catalogue: Order versions by the store's epoch, then by revision

Cause: a revision was taken for the identity of a state. After a restoration it is not: lists with a lower revision were ignored, a configuration with an equal one too, and a watch of a revision that had been assigned again continued in another history.

Fix: a version is the epoch and the revision. Watches end with the epoch; changes of a new epoch need its list first; between epochs the writers' own order decides (numbers of configurations, starts and heartbeats of servers). What was lost is kept until its writer writes it again, for a bounded time. A host whose own record was lost registers again. A history that expires again right after its list is listed again only after a pause.

--- a/catalogue/catalogue.go
+++ b/catalogue/catalogue.go
@@ -96,8 +96,14 @@
 	return c.hosts
 }
 
-// HostVersion returns the version at which the record of a host last changed.
-func (c *Catalogue) HostVersion(id fleet.HostID) Version { return c.hostVersions[id] }
+// HostVersion returns the version at which the record of a host last changed. It is zero if
+// the store has no record of the host, as after a restoration that has lost it.
+func (c *Catalogue) HostVersion(id fleet.HostID) Version {
+	if c == nil {
+		return 0
+	}
+	return c.hostVersions[id]
+}
 
 // Service returns the configuration of a service, or the zero value if there is none.
 func (c *Catalogue) Service(name fleet.ServiceName) Service {
--- a/catalogue/follower.go
+++ b/catalogue/follower.go
@@ -50,6 +50,8 @@
 	// historyExpired means that the store no longer has the changes after version.
 	historyExpired bool
 	failures       int
+	// expiries is the number of expiries of the history since the last successful watch.
+	expiries int
 	// changedAt is when the last changes were received.
 	changedAt time.Time
 }
@@ -87,6 +89,9 @@
 // failed.
 func (f *Follower) Succeeded(version Version) bool {
 	recovered := f.failures > 0
+	if !f.historyExpired {
+		f.expiries = 0
+	}
 	f.failures, f.historyExpired = 0, false
 	f.version = max(version, f.version)
 	return recovered
@@ -113,6 +118,11 @@
 	return min(firstRetryPause*time.Duration(f.failures), maxRetryPause), f.failures == 1
 }
 
-// HistoryExpired records that the store no longer has the changes after the known
-// version. The next call lists all records.
-func (f *Follower) HistoryExpired() { f.historyExpired = true }
+// HistoryExpired records that the store does not have the changes after the known version.
+// The next call lists all records. It returns the pause before that call; there is none
+// unless the history expired again after it was listed.
+func (f *Follower) HistoryExpired() time.Duration {
+	f.historyExpired = true
+	f.expiries++
+	return min(firstRetryPause*time.Duration(f.expiries-1), maxRetryPause)
+}
--- a/catalogue/server.go
+++ b/catalogue/server.go
@@ -53,7 +53,7 @@
 	WarmupRemaining time.Duration `cbor:"cold,omitempty"`
 	// Started distinguishes two starts of a server under one id.
 	Started int64 `cbor:"started"`
-	// Created and Changed are the store's revisions in which the record was created and
+	// Created and Changed are the store's versions in which the record was created and
 	// last changed.
 	Created Version `cbor:"created"`
 	Changed Version `cbor:"changed"`
--- a/catalogue/since.go
+++ b/catalogue/since.go
@@ -29,10 +29,10 @@
 	}
 }
 
-// Since returns the changes of the servers after a version, if all removals since are
-// remembered. Otherwise, and for the other sources, it returns all known records.
+// Since returns the changes of the servers after a version of the same epoch, if all removals
+// since are remembered. Otherwise, and for the other sources, it returns all known records.
 func (t *Tracker) Since(now time.Time, source Source, version Version) Update {
-	if source != Servers || version == 0 || version < t.removals.base {
+	if source != Servers || version == 0 || version < t.removals.base || version.Epoch() != t.versions[Servers].Epoch() {
 		return t.Snapshot(now, source)
 	}
 	update := Update{Source: source, Version: t.versions[source], AsOf: t.confirmed[source]}
--- a/catalogue/tracker.go
+++ b/catalogue/tracker.go
@@ -49,6 +49,9 @@
 	Configuration *Configuration `cbor:"configuration,omitempty"`
 	Server        *Server        `cbor:"server,omitempty"`
 	Host          *fleet.Host    `cbor:"host,omitempty"`
+	// Heartbeat is the number of the heartbeat of Server that wrote the record, counted from
+	// its start.
+	Heartbeat uint64 `cbor:"heartbeat,omitempty"`
 	// Fault is the reason why the content could not be read.
 	Fault string `cbor:"fault,omitempty"`
 }
@@ -59,10 +62,8 @@
 	// Full means that Records holds all records of the source.
 	Full    bool     `cbor:"whole,omitempty"`
 	Records []Record `cbor:"records,omitempty"`
-	// Version is the store's revision that the records reflect.
+	// Version is the store's version that the records reflect.
 	Version Version `cbor:"version"`
-	// Epoch is the epoch of the store; zero for an update from a peer.
-	Epoch Epoch `cbor:"-"`
 	// AsOf is the time at which the records were current.
 	AsOf time.Time `cbor:"-"`
 }
@@ -74,8 +75,8 @@
 	Name string
 	// Cookie is the cookie of the server.
 	Cookie Cookie
-	// Version is the store's revision that made the change; zero for the
-	// expiry of a lapsed record.
+	// Version is the store's version that made the change; zero for the expiry of a
+	// lapsed record or of a retained state.
 	Version Version
 	// Number is the number of the configuration.
 	Number uint64
@@ -92,6 +93,10 @@
 	ServerRestarted
 	ServerDraining
 	ServerUnreadable
+	// ServerOutdated is a record of a restored store that is older than the known one.
+	ServerOutdated
+	// ServerHeld is the record of a removed server, which returned with a restored store.
+	ServerHeld
 	ServerLapsed
 	ServerEnded
 	ConfigurationInForce
@@ -99,13 +104,16 @@
 	// ConfigurationIgnored is a configuration that is not newer than the one in force.
 	ConfigurationIgnored
 	DataCentreOut
+	// DataCentreRetained is a data centre that stays out of service for some time although
+	// a restored store does not say so.
+	DataCentreRetained
 	DataCentreIn
 )
 
 var changeKindNames = [...]string{
-	"server_added", "server_restarted", "server_draining", "server_unreadable", "server_lapsed",
-	"server_ended", "configuration_in_force", "configuration_unreadable",
-	"configuration_ignored", "data_centre_out", "data_centre_in",
+	"server_added", "server_restarted", "server_draining", "server_unreadable",
+	"server_outdated", "server_held", "server_lapsed", "server_ended", "configuration_in_force", "configuration_unreadable",
+	"configuration_ignored", "data_centre_out", "data_centre_retained", "data_centre_in",
 }
 
 // String returns the name of the kind in snake case.
@@ -121,6 +129,9 @@
 	// update of them to count as the store's recovery. Zero means
 	// DefaultOutageThreshold.
 	OutageThreshold time.Duration
+	// RestorationGrace is how long a state that a restored store contradicts is kept, so
+	// that its writer can write it again. Zero means DefaultRestorationGrace.
+	RestorationGrace time.Duration
 
 	// stale means that current is out of date.
 	stale      bool
@@ -131,6 +142,7 @@
 	confirmed  [sourceCount]time.Time
 	listed     [sourceCount]bool
 	graceUntil time.Time
+	retained   retainedState
 	// hasLapsed means that the record of some server has lapsed.
 	hasLapsed bool
 
@@ -138,14 +150,21 @@
 	configurationVersion Version
 	evacuated            map[fleet.DataCentreID]bool
 	servers              map[string]*trackedServer
-	removed              map[Cookie]time.Time
+	removed              map[Cookie]removedServer
 	removals             removalLog
 	hosts                map[string]Record
 }
 
+// removedServer is a server whose record has expired.
+type removedServer struct {
+	at      time.Time
+	started int64
+}
+
 // trackedServer is a server and the state of its record.
 type trackedServer struct {
-	server *Server
+	server    *Server
+	heartbeat uint64
 	// lapsedAt is when the record was removed; zero while it exists.
 	lapsedAt time.Time
 }
@@ -160,7 +179,7 @@
 	return t.current
 }
 
-// Version returns the store's revision that the records of a source reflect.
+// Version returns the store's version that the records of a source reflect.
 func (t *Tracker) Version(s Source) Version { return t.versions[s] }
 
 // ConfirmedAt returns the last time at which the records of a source were known to be
@@ -171,18 +190,24 @@
 func (t *Tracker) Listed(s Source) bool { return t.listed[s] }
 
 // Apply applies an update and reports whether the catalogue has changed. An update older
-// than the known version is ignored.
+// than the known version is ignored, and so are changes of an epoch whose records are not
+// known yet.
 func (t *Tracker) Apply(now time.Time, update Update) bool {
-	if update.Version < t.versions[update.Source] {
+	known := t.versions[update.Source]
+	restored := known != 0 && update.Version.Epoch() > known.Epoch()
+	if update.Version < known || restored && !update.Full {
 		return false
 	}
 	t.startGraceAfterOutage(now, update)
+	if restored {
+		t.startRestorationGrace(now, update.Source)
+	}
 	t.versions[update.Source] = update.Version
 	if update.AsOf.After(t.confirmed[update.Source]) {
 		t.confirmed[update.Source] = update.AsOf
 	}
 	t.listed[update.Source] = t.listed[update.Source] || update.Full
-	changed := t.applySource(now, update)
+	changed := t.applySource(now, update, restored)
 	changed = t.expire(now) || changed
 	t.stale = t.stale || changed
 	return changed
@@ -216,16 +241,17 @@
 	}
 }
 
-func (t *Tracker) applySource(now time.Time, update Update) bool {
+// applySource applies an update; restored means that it is the first of its epoch.
+func (t *Tracker) applySource(now time.Time, update Update, restored bool) bool {
 	switch update.Source {
 	case Configurations:
 		return t.applyConfigurations(update)
 	case Evacuations:
-		return t.applyEvacuations(update)
+		return t.applyEvacuations(update, restored)
 	case Servers:
-		return t.applyServers(now, update)
+		return t.applyServers(now, update, restored)
 	case Hosts:
-		return t.applyHosts(update)
+		return t.applyHosts(now, update)
 	}
 	return false
 }
@@ -239,7 +265,7 @@
 		if record.Configuration == nil {
 			continue
 		}
-		if record.Changed <= t.configurationVersion {
+		if !t.supersedesConfiguration(record) {
 			t.addIgnoredConfiguration(record)
 			continue
 		}
@@ -251,6 +277,16 @@
 	return changed
 }
 
+// supersedesConfiguration reports whether the configuration of a record replaces the one in
+// force. A restored store may hold an earlier one, so the operators' numbers decide between
+// two of different epochs.
+func (t *Tracker) supersedesConfiguration(record Record) bool {
+	if t.configuration != nil && record.Changed.Epoch() != t.configurationVersion.Epoch() {
+		return record.Configuration.Number >= t.configuration.Number
+	}
+	return record.Changed > t.configurationVersion
+}
+
 // addIgnoredConfiguration adds a change for a configuration that is ignored, unless it is
 // the one in force.
 func (t *Tracker) addIgnoredConfiguration(record Record) {
@@ -259,7 +295,8 @@
 	}
 }
 
-func (t *Tracker) applyEvacuations(update Update) bool {
+func (t *Tracker) applyEvacuations(update Update, restored bool) bool {
+	before := t.dataCentresOut()
 	next := maps.Clone(t.evacuated)
 	if update.Full || next == nil {
 		next = make(map[fleet.DataCentreID]bool)
@@ -270,45 +307,49 @@
 		} else {
 			next[fleet.DataCentreID(record.Name)] = true
 		}
+		delete(t.retained.out, fleet.DataCentreID(record.Name))
+	}
+	if restored {
+		t.retainEvacuations(next, update.Version)
 	}
-	t.addEvacuationChanges(next, update.Version)
-	changed := !maps.Equal(next, t.evacuated)
 	t.evacuated = next
-	return changed || update.Full
+	after := t.dataCentresOut()
+	t.addEvacuationChanges(before, after, update.Version)
+	return !maps.Equal(before, after) || update.Full
 }
 
-func (t *Tracker) addEvacuationChanges(next map[fleet.DataCentreID]bool, version Version) {
-	for _, id := range slices.Sorted(maps.Keys(next)) {
-		if !t.evacuated[id] {
+func (t *Tracker) addEvacuationChanges(before, after map[fleet.DataCentreID]bool, version Version) {
+	for _, id := range slices.Sorted(maps.Keys(after)) {
+		if !before[id] {
 			t.addChange(Change{Kind: DataCentreOut, Name: string(id), Version: version})
 		}
 	}
-	for _, id := range slices.Sorted(maps.Keys(t.evacuated)) {
-		if !next[id] {
+	for _, id := range slices.Sorted(maps.Keys(before)) {
+		if !after[id] {
 			t.addChange(Change{Kind: DataCentreIn, Name: string(id), Version: version})
 		}
 	}
 }
 
-func (t *Tracker) applyServers(now time.Time, update Update) bool {
+func (t *Tracker) applyServers(now time.Time, update Update, restored bool) bool {
 	if t.servers == nil {
 		t.servers = make(map[string]*trackedServer)
-		t.removed = make(map[Cookie]time.Time)
+		t.removed = make(map[Cookie]removedServer)
 	}
 	changed := update.Full
 	if update.Full {
 		t.removals.base = max(t.removals.base, update.Version) // a full update does not name the servers removed before it
 		t.markMissing(now, update.Records, update.Version)
 	}
-	for _, record := range update.Records {
+	for _, record := range t.holdRemovedServers(update, restored) {
 		changed = t.applyServer(now, record) || changed
 	}
 	return changed
 }
 
-func (t *Tracker) applyHosts(update Update) bool {
+func (t *Tracker) applyHosts(now time.Time, update Update) bool {
 	if update.Full || t.hosts == nil {
-		t.hosts = make(map[string]Record)
+		t.hosts = t.retainedHosts(now, update.Version.Epoch())
 	}
 	for _, record := range update.Records {
 		if record.Removed || record.Host == nil {
@@ -320,7 +361,8 @@
 	return update.Full || len(update.Records) > 0
 }
 
-// Snapshot returns all known records of a source as a full update.
+// Snapshot returns all known records of a source as a full update, without those that are
+// retained after a restoration of the store.
 func (t *Tracker) Snapshot(now time.Time, source Source) Update {
 	update := Update{Source: source, Full: true, Version: t.versions[source], AsOf: t.confirmed[source]}
 	switch source {
@@ -335,7 +377,11 @@
 	case Servers:
 		update.Records = t.serverRecords(now, 0)
 	case Hosts:
-		update.Records = slices.Collect(maps.Values(t.hosts))
+		for _, record := range t.hosts {
+			if record.Changed.Epoch() == update.Version.Epoch() {
+				update.Records = append(update.Records, record)
+			}
+		}
 	}
 	return update
 }
@@ -350,7 +396,12 @@
 		}
 		server := *tracked.server
 		server.WarmupRemaining = max(0, server.WarmAt.Sub(now))
-		records = append(records, Record{Name: name, Changed: server.Changed, Server: &server})
+		records = append(records, Record{Name: name, Changed: server.Changed, Server: &server, Heartbeat: tracked.heartbeat})
+	}
+	for _, record := range t.retained.servers {
+		if record.Changed > after {
+			records = append(records, record)
+		}
 	}
 	return records
 }
@@ -386,8 +437,16 @@
 	}
 	server := *record.Server
 	server.WarmAt = now.Add(server.WarmupRemaining)
+	heartbeat := record.Heartbeat
+	if tracked != nil && tracked.isNewerAcrossEpochs(record) {
+		if server.Draining != tracked.server.Draining {
+			t.addServerChange(ServerOutdated, &server, server.Changed)
+		}
+		server, heartbeat = *tracked.server, tracked.heartbeat
+		server.Changed = record.Changed
+	}
 	t.addRecordChange(tracked, &server)
-	t.servers[record.Name] = &trackedServer{server: &server}
+	t.servers[record.Name] = &trackedServer{server: &server, heartbeat: heartbeat}
 	delete(t.removed, CookieOf(server.ID))
 	delete(t.removals.versions, record.Name)
 	return true
@@ -429,13 +488,19 @@
 	server := *tracked.server
 	server.Draining = true
 	server.Changed = record.Changed
-	t.servers[record.Name] = &trackedServer{server: &server}
+	t.servers[record.Name] = &trackedServer{server: &server, heartbeat: tracked.heartbeat}
 	return true
 }
 
-// expire removes the servers whose records have lapsed, after the grace period if the
-// store has just recovered.
+// expire removes expired state.
 func (t *Tracker) expire(now time.Time) bool {
+	lapsed := t.expireLapsed(now)
+	return t.expireRetained(now) || lapsed
+}
+
+// expireLapsed removes the servers whose records have lapsed, after the grace period if the
+// store has just recovered.
+func (t *Tracker) expireLapsed(now time.Time) bool {
 	changed := false
 	if !t.hasLapsed || now.Before(t.graceUntil) {
 		return false
@@ -446,12 +511,12 @@
 			continue
 		}
 		delete(t.servers, name)
-		t.removed[CookieOf(tracked.server.ID)] = now
+		t.removed[CookieOf(tracked.server.ID)] = removedServer{now, tracked.server.Started}
 		t.addServerChange(ServerEnded, tracked.server, 0)
 		changed = true
 	}
-	for cookie, since := range t.removed {
-		if now.Sub(since) > removedRetention {
+	for cookie, server := range t.removed {
+		if now.Sub(server.at) > removedRetention {
 			delete(t.removed, cookie)
 		}
 	}
@@ -485,7 +550,9 @@
 	}
 	next.hostVersions = make(map[fleet.HostID]Version, len(t.hosts))
 	for _, record := range t.hosts {
-		next.hostVersions[record.Host.ID] = record.Changed
+		if record.Changed.Epoch() == t.versions[Hosts].Epoch() {
+			next.hostVersions[record.Host.ID] = record.Changed
+		}
 		next.hosts = append(next.hosts, *record.Host)
 		next.hostIDs = append(next.hostIDs, record.Host.ID)
 	}
@@ -495,7 +562,7 @@
 			continue
 		}
 		next.byDataCentre[server.DataCentre] = append(next.byDataCentre[server.DataCentre], server)
-		if !server.Draining && !t.evacuated[server.DataCentre] {
+		if !server.Draining && !t.isOut(server.DataCentre) {
 			next.addToPool(server)
 		}
 	}
--- a/catalogue/version.go
+++ b/catalogue/version.go
@@ -1,9 +1,41 @@
 package catalogue
 
-// Version is a revision of the platform's store. It increases with each change.
+import "strconv"
+
+// Epoch counts the restorations of the platform's store from an older copy. Zero means that
+// the store does not report it.
+type Epoch uint16
+
+// Revision is a revision of the platform's store. It increases with each change of an epoch.
+// A restored store assigns the revisions after that of the copy again.
+type Revision uint64
+
+// revisionBits is the number of low bits of a Version that hold the revision.
+const revisionBits = 48
+
+// MaxRevision is the highest revision that a Version can hold.
+const MaxRevision Revision = 1<<revisionBits - 1
+
+// Version is a state of the platform's store: the epoch in the high bits, and a revision of
+// that epoch. Versions are ordered like the states, also across restorations. Zero precedes
+// all states.
 type Version uint64
 
-// Epoch counts the restorations of the platform's store from an older copy. Revisions of
-// different epochs are unrelated: a restored store assigns the revisions after the copy
-// again.
-type Epoch uint64
+// Version returns the version of a revision of the epoch. Revisions above MaxRevision are
+// not valid.
+func (e Epoch) Version(r Revision) Version { return Version(e)<<revisionBits | Version(r) }
+
+// Epoch returns the epoch of the version.
+func (v Version) Epoch() Epoch { return Epoch(v >> revisionBits) }
+
+// Revision returns the revision of the version.
+func (v Version) Revision() Revision { return Revision(v) & MaxRevision }
+
+// String returns the revision, after the epoch and a colon if the epoch is known.
+func (v Version) String() string {
+	revision := strconv.FormatUint(uint64(v.Revision()), 10)
+	if v.Epoch() == 0 {
+		return revision
+	}
+	return strconv.FormatUint(uint64(v.Epoch()), 10) + ":" + revision
+}
--- a/entry/control.go
+++ b/entry/control.go
@@ -70,15 +70,14 @@
 // whether the catalogue has changed.
 func (c *control) apply(update catalogue.Update) bool {
 	before := c.tracker.Version(update.Source)
-	newer := update.Version > before
 	c.host.record(Event{Update: &update})
 	changed := c.tracker.Apply(c.host.network.Now(), update)
-	if update.Version < before {
+	if update.Version > c.tracker.Version(update.Source) || update.Version < before {
 		c.host.metrics.updatesIgnored.WithLabelValues(update.Source.String()).Inc()
 		c.host.log.Line("update_ignored", "source", update.Source.String(), "version", update.Version, "known", before,
 			"full", update.Full, "records", len(update.Records))
 	}
-	if !newer || len(c.subscribers) == 0 {
+	if c.tracker.Version(update.Source) == before || len(c.subscribers) == 0 {
 		return changed
 	}
 	if update.Full {
--- a/entry/feed.go
+++ b/entry/feed.go
@@ -385,8 +385,9 @@
 	}
 }
 
-// feedPath is the URL path of the feed endpoint.
-const feedPath = "/feed"
+// feedPath is the URL path of the feed endpoint. It changes with the format of the messages:
+// hosts of different formats do not follow each other, but read the store.
+const feedPath = "/feed/2"
 
 // feedHandler returns the handler that upgrades requests for a feed to streams.
 func feedHandler(accept func(context.Context, *Stream)) http.Handler {
--- a/entry/reader.go
+++ b/entry/reader.go
@@ -53,11 +53,11 @@
 
 // logEpochChange logs the first update of an epoch.
 func (r *storeReader) logEpochChange(update catalogue.Update) {
-	if r.epoch != update.Epoch && r.epoch != 0 {
-		r.host.log.Line("source_restored", "source", update.Source.String(), "version", update.Version, "epoch", update.Epoch,
-			"full", update.Full, "records", len(update.Records))
+	epoch := update.Version.Epoch()
+	if r.epoch != epoch && r.epoch != 0 {
+		r.host.log.Line("source_restored", "source", update.Source.String(), "version", update.Version, "full", update.Full, "records", len(update.Records))
 	}
-	r.epoch = update.Epoch
+	r.epoch = epoch
 }
 
 // pause waits for a duration or until ctx ends.
@@ -180,9 +180,9 @@
 	source := r.follower.Source.String()
 	if errors.Is(err, platform.ErrHistoryExpired) {
 		r.host.log.Line("history_gone", "source", source)
-		r.follower.HistoryExpired()
 		r.listing.Reset()
 		r.staleList = nil
+		pause(ctx, r.follower.HistoryExpired())
 		return
 	}
 	wait, lost := r.follower.Failed()
--- a/entry/registrar.go
+++ b/entry/registrar.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/rattanthread/rattanthread/catalogue"
@@ -16,11 +17,11 @@
 )
 
 // register writes the record by which other hosts find this one, unless it exists already, so
-// that a restart requires no call to the store.
+// that a restart requires no call to the store. A restored store may have lost the record.
 func (h *Host) register(ctx context.Context, store *platform.Store) error {
 	return every(ctx, registerInterval, func() {
 		state := h.snapshot.Load()
-		if state.versions[catalogue.Hosts] == 0 || registered(state.catalogue.Hosts(), h.self()) {
+		if state.versions[catalogue.Hosts] == 0 || registered(state.catalogue, h.self()) {
 			return
 		}
 		callCtx, cancel := context.WithTimeout(ctx, registerTimeout)
@@ -43,11 +44,6 @@
 	}
 }
 
-func registered(hosts []fleet.Host, self fleet.Host) bool {
-	for _, host := range hosts {
-		if host == self {
-			return true
-		}
-	}
-	return false
+func registered(current *catalogue.Catalogue, self fleet.Host) bool {
+	return current.HostVersion(self.ID) != 0 && slices.Contains(current.Hosts(), self)
 }
--- a/entry/stalehosts.go
+++ b/entry/stalehosts.go
@@ -36,8 +36,9 @@
 			clear(r.unreachableSince)
 			return
 		}
-		for _, other := range host.snapshot.Load().catalogue.Hosts() {
-			if other.DataCentre == host.Settings.DataCentre && other.ID != host.Settings.Host {
+		current := host.snapshot.Load().catalogue
+		for _, other := range current.Hosts() {
+			if other.DataCentre == host.Settings.DataCentre && other.ID != host.Settings.Host && current.HostVersion(other.ID) != 0 {
 				r.check(ctx, other)
 			}
 		}
--- a/viewcheck/check.go
+++ b/viewcheck/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -23,6 +24,8 @@
 const (
 	// NoMutant injects no fault.
 	NoMutant Mutant = iota
+	// IgnoreEpoch makes hosts watch a restored store from a revision of before.
+	IgnoreEpoch
 	// TrustRevision makes hosts watch from the revision that a stale list reports.
 	TrustRevision
 )
@@ -41,13 +44,16 @@
 	store  store
 	hosts  [hostCount]*host
 	random *rand.Rand
+	now    time.Time
 	mutant Mutant
 }
 
 // Run simulates the history. The error describes the first state of a host that the
 // store never had.
 func (c Check) Run() error {
-	s := simulation{store: store{source: c.Source}, random: rand.New(rand.NewPCG(c.Seed, 1)), mutant: c.Mutant}
+	s := simulation{
+		store: store{source: c.Source, epochs: make([]epoch, 1)}, random: rand.New(rand.NewPCG(c.Seed, 1)), now: start, mutant: c.Mutant,
+	}
 	for i := range s.hosts {
 		s.hosts[i] = newHost(c.Source)
 	}
@@ -60,8 +66,8 @@
 		return errors.Wrapf(err, "%s, seed %d, settled", c.Source, c.Seed)
 	}
 	for i, h := range s.hosts {
-		if h.version() != s.store.revision() {
-			return errors.Errorf("%s, seed %d: host %d ends at version %d, not at the latest version %d", c.Source, c.Seed, i, h.version(), s.store.revision())
+		if h.version() != s.store.version() {
+			return errors.Errorf("%s, seed %d: host %d ends at version %s, not at the latest version %s", c.Source, c.Seed, i, h.version(), s.store.version())
 		}
 	}
 	return nil
@@ -76,7 +82,7 @@
 	do()
 	for i, h := range s.hosts {
 		if h == before[i] && h.version() < versions[i] {
-			return errors.Errorf("version of host %d decreased from %d to %d", i, versions[i], h.version())
+			return errors.Errorf("version of host %d decreased from %s to %s", i, versions[i], h.version())
 		}
 		if err := s.checkView(h); err != nil {
 			return errors.Wrapf(err, "host %d", i)
@@ -87,15 +93,17 @@
 
 // step simulates one event.
 func (s *simulation) step() {
-	switch s.random.IntN(12) {
+	s.now = s.now.Add(time.Duration(s.random.IntN(1000)) * time.Millisecond)
+	switch s.random.IntN(13) {
 	case 0, 1, 2:
-		s.store.changes = append(s.store.changes, change{recordName(s.random.IntN(recordCount)), s.random.IntN(3) == 0})
+		current := s.store.current()
+		current.changes = append(current.changes, change{recordName(s.random.IntN(recordCount)), s.random.IntN(3) == 0})
 	case 3:
 		if s.random.IntN(6) == 0 {
-			s.store.historyStart = s.store.revision()
+			s.store.current().historyStart = s.store.version().Revision()
 		}
 	case 4, 5, 6:
-		s.read(s.randomHost(), s.replicaRevision)
+		s.read(s.randomHost(), s.replicaVersion)
 	case 7, 8:
 		s.deliver(s.randomHost(), s.random.IntN(2) == 0)
 	case 9:
@@ -106,15 +114,20 @@
 		if s.random.IntN(4) == 0 {
 			s.restart(s.random.IntN(hostCount))
 		}
+	case 12:
+		if s.random.IntN(3) == 0 {
+			s.store.restore(s.replicaVersion().Revision())
+		}
+		s.randomHost().tracker.Tick(s.now)
 	}
 }
 
 func (s *simulation) randomHost() *host { return s.hosts[s.random.IntN(hostCount)] }
 
-// replicaRevision returns the revision that a serializable read returns.
-func (s *simulation) replicaRevision() catalogue.Version {
-	last := s.store.revision()
-	return last - min(last-firstVersion, catalogue.Version(s.random.IntN(maxLag)))
+// replicaVersion returns the version of a replica that lags behind.
+func (s *simulation) replicaVersion() catalogue.Version {
+	last := s.store.version()
+	return last - min(catalogue.Version(last.Revision()-firstRevision), catalogue.Version(s.random.IntN(maxLag)))
 }
 
 // restart replaces a host by one that has not read anything.
@@ -132,8 +145,9 @@
 	for _, h := range s.hosts {
 		h.unsubscribe()
 		for range settleReads {
-			s.read(h, s.store.revision)
+			s.read(h, s.store.version)
 		}
+		h.tracker.Tick(s.now.Add(settledTime))
 	}
 }
 
@@ -147,17 +161,17 @@
 	view := entryHost.view()
 	for n := range recordCount {
 		if name := recordName(n); !s.wasCurrent(name, view[name], version) {
-			return errors.Errorf("record %s: host holds its change at version %d, which was not current at any version from %d to %d", name, view[name], version, s.store.revision())
+			return errors.Errorf("record %s: host holds its change at version %s, which was not current at any version from %s to %s", name, view[name], version, s.store.lastVersion(version.Epoch()))
 		}
 	}
 	return nil
 }
 
 // wasCurrent reports whether a record had held as the version of its last change at any
-// revision from a version on. For evacuations only the presence of the record is
+// version of the epoch from a version on. For evacuations only the presence of the record is
 // compared.
 func (s *simulation) wasCurrent(name string, held, version catalogue.Version) bool {
-	for v := version; v <= s.store.revision(); v++ {
+	for v := version; v <= s.store.lastVersion(version.Epoch()); v++ {
 		changed := s.store.versionsAt(v)[name]
 		if changed == held || s.store.source == catalogue.Evacuations && changed > 0 && held > 0 {
 			return true
--- a/viewcheck/check_test.go
+++ b/viewcheck/check_test.go
@@ -29,7 +29,9 @@
 	for _, source := range viewcheck.Sources() {
 		t.Run(source.String(), func(t *testing.T) {
 			t.Parallel()
-			is.New(t).True(detects(source, viewcheck.TrustRevision))
+			is := is.New(t)
+			is.True(detects(source, viewcheck.TrustRevision))
+			is.True(detects(source, viewcheck.IgnoreEpoch))
 		})
 	}
 }
--- a/viewcheck/host.go
+++ b/viewcheck/host.go
@@ -6,8 +6,8 @@
 	"github.com/rattanthread/rattanthread/catalogue"
 )
 
-// now is the time of all events: nothing in the simulation depends on it.
-var now = time.Unix(0, 0)
+// settledTime is after the end of all grace periods.
+const settledTime = time.Hour
 
 // host is an entry host: its state, how it reads the store, and the host that it
 // follows.
@@ -25,35 +25,38 @@
 	return &host{follower: catalogue.Follower{Source: source}}
 }
 
+// start is the time at which a simulation starts.
+var start = time.Unix(0, 0)
+
 func (h *host) version() catalogue.Version { return h.tracker.Version(h.follower.Source) }
 
 // view returns the version of each record that the host holds.
 func (h *host) view() map[string]catalogue.Version {
 	versions := make(map[string]catalogue.Version)
-	for _, r := range h.tracker.Snapshot(now, h.follower.Source).Records {
+	for _, r := range h.tracker.Snapshot(start, h.follower.Source).Records {
 		versions[r.Name] = r.Changed
 	}
 	return versions
 }
 
 // read makes the host's next call as the reader of an entry host does.
-func (s *simulation) read(entryHost *host, readRevision func() catalogue.Version) {
+func (s *simulation) read(entryHost *host, readVersion func() catalogue.Version) {
 	entryHost.follower.Advance(entryHost.version())
 	call := entryHost.follower.Next()
 	switch {
 	case call.Linearizable:
-		list := s.list(s.store.revision, false)
+		list := s.list(s.store.version, false)
 		s.apply(entryHost, list)
 		entryHost.follower.Succeeded(list.Version)
 		return
 	case call.Full && entryHost.staleList == nil:
-		list := s.list(readRevision, true)
+		list := s.list(readVersion, true)
 		entryHost.staleList = &list
 		return // a later call reads the changes since
 	case call.Full:
 		call.After = entryHost.staleList.Version
 	}
-	changes, ok := s.store.watch(call.After, readRevision())
+	changes, ok := s.watch(call.After, readVersion())
 	if !ok {
 		entryHost.follower.HistoryExpired()
 		entryHost.staleList = nil
@@ -68,10 +71,10 @@
 }
 
 // list reads two pages. The version of a stale page is that of its latest record.
-func (s *simulation) list(readRevision func() catalogue.Version, stale bool) catalogue.Update {
+func (s *simulation) list(readVersion func() catalogue.Version, stale bool) catalogue.Update {
 	var listing catalogue.Listing
 	for second := false; ; second = true {
-		page := s.store.page(second, readRevision())
+		page := s.store.page(second, readVersion())
 		if stale {
 			page.Version = s.watchVersion(page)
 		}
@@ -79,18 +82,27 @@
 		if !second {
 			next = recordName(recordCount/2 - 1)
 		}
-		if list, done := listing.Add(now, page, next); done {
+		if list, done := listing.Add(s.now, page, next); done {
 			return list
 		}
 	}
 }
 
+// watch returns the changes after a version up to another one, or false if the store does not
+// have them.
+func (s *simulation) watch(after, version catalogue.Version) (catalogue.Update, bool) {
+	if s.mutant == IgnoreEpoch {
+		after = s.store.number().Version(after.Revision())
+	}
+	return s.store.watch(after, version)
+}
+
 // watchVersion returns the version after which a stale page is watched.
 func (s *simulation) watchVersion(page catalogue.Update) catalogue.Version {
 	if s.mutant == TrustRevision {
-		return s.store.revision()
+		return s.store.version()
 	}
-	version := catalogue.Version(firstVersion)
+	version := s.store.number().Version(firstRevision)
 	for _, r := range page.Records {
 		version = max(version, r.Changed)
 	}
@@ -100,12 +112,12 @@
 // apply applies an update to a host and forwards it to the hosts that follow it.
 func (s *simulation) apply(entryHost *host, update catalogue.Update) {
 	before := entryHost.version()
-	entryHost.tracker.Apply(now, update)
-	if update.Version <= before {
+	entryHost.tracker.Apply(s.now, update)
+	if entryHost.version() == before {
 		return
 	}
 	if update.Full {
-		update = entryHost.tracker.Since(now, update.Source, before)
+		update = entryHost.tracker.Since(s.now, update.Source, before)
 	}
 	for _, child := range s.hosts {
 		if child.parent == entryHost {
@@ -144,7 +156,7 @@
 	child.unsubscribe()
 	child.parent = parent
 	if parent.version() > child.version() {
-		child.inbox = append(child.inbox, parent.tracker.Since(now, child.follower.Source, child.version()))
+		child.inbox = append(child.inbox, parent.tracker.Since(s.now, child.follower.Source, child.version()))
 	}
 }
 
