catalogue: Take no version of a source before its records

What callers saw: a host that starts while the store is unavailable may never become ready, also after the store has returned: it watches for changes after a version whose records it has never read. Found while testing the restored store; it is the same class of fault, a position that is taken for the history before it.

Cause: a host without a catalogue may follow another one that has none either. The version that it is told, without records, was taken over; the list that follows has the same version, so it is not passed on, and the reader does not list either.

TestVersionNeedsItsRecords failed before.

--- a/catalogue/tracker.go
+++ b/catalogue/tracker.go
@@ -190,12 +190,12 @@
 func (t *Tracker) Listed(s Source) bool { return t.listed[s] }
 
 // Apply applies an update and reports whether the catalogue has changed. An update older
-// than the known version is ignored, and so are changes of an epoch whose records are not
-// known yet.
+// than the known version is ignored, and so are changes to records that are not known yet.
 func (t *Tracker) Apply(now time.Time, update Update) bool {
 	known := t.versions[update.Source]
 	restored := known != 0 && update.Version.Epoch() > known.Epoch()
-	if update.Version < known || restored && !update.Full {
+	recordsUnknown := restored || !t.listed[update.Source]
+	if update.Version < known || update.Version > known && recordsUnknown && !update.Full {
 		return false
 	}
 	t.startGraceAfterOutage(now, update)
--- a/catalogue/tracker_test.go
+++ b/catalogue/tracker_test.go
@@ -70,6 +70,17 @@
 	is.Equal(tracker.Current().Configuration.Number, uint64(8))
 }
 
+// TestVersionNeedsItsRecords guards against a host that never reads the records of a source,
+// because a peer without them has told it their version.
+func TestVersionNeedsItsRecords(t *testing.T) {
+	is := is.New(t)
+	var tracker catalogue.Tracker
+	tracker.Apply(start, servers(5, false))
+	is.Equal(tracker.Version(catalogue.Servers), catalogue.Version(0))
+	tracker.Apply(start, servers(5, true, record(server("i-01", 5))))
+	is.Equal(tracker.Version(catalogue.Servers), catalogue.Version(5))
+}
+
 func TestDrainingServerKeepsItsFlowsOnly(t *testing.T) {
 	is := is.New(t)
 	var tracker catalogue.Tracker
