soak: Restore the store from older copies; check the configuration in force

The soak injects up to three restorations a run, each after 20 configurations that the restoration loses, and checks after all faults that each host uses a configuration written then. Numbers of configurations now increase, as the platform states; they were random.

A restoration and the rewriting are one step in the stand-in, so that a change of operators can't be lost between them.

--- a/platformstandin/fault.go
+++ b/platformstandin/fault.go
@@ -240,6 +240,15 @@
 // configurations, drains and evacuations are not checked for some time afterwards.
 func (s *Site) RelaxBounds() { s.withLock(func() { s.boundsRelaxedAt = time.Now() }) }
 
+// Reconfigure writes the next configuration.
+func (s *Site) Reconfigure() { s.Configure(s.ConfigurationNumber()+1, nil) }
+
+// ConfigurationNumber returns the number of the configuration in the store.
+func (s *Site) ConfigurationNumber() int {
+	number, _ := s.Store.spec("config", "main")["version"].(float64)
+	return int(number)
+}
+
 // ReportViolation adds a violation that the caller detected to the report.
 func (s *Site) ReportViolation(violation string) { s.withLock(func() { s.addViolation(violation) }) }
 
--- a/platformstandin/restore.go
+++ b/platformstandin/restore.go
@@ -1,10 +1,10 @@
 package platformstandin
 
 import (
+	"bytes"
 	"maps"
 	"net/http"
 	"net/netip"
-	"reflect"
 	"slices"
 	"strconv"
 	"time"
@@ -14,10 +14,21 @@
 const epochHeader = "Store-Era"
 
 // Restore replaces the content of the store by a copy that is as old as age. Revisions
-// continue from that of the copy.
-func (s *Store) Restore(age time.Duration) {
+// continue from that of the copy. The objects of the given kinds are written again as they
+// were.
+func (s *Store) Restore(age time.Duration, kinds ...string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	lost := s.objects
+	s.revert(age)
+	for _, kind := range kinds {
+		s.writeAgain(kind, lost[kind])
+	}
+	s.notifyWatches()
+}
+
+// revert makes the state that of an earlier time. The caller must hold s.mu.
+func (s *Store) revert(age time.Duration) {
 	kept := slices.IndexFunc(s.log, func(e event) bool { return time.Since(e.at) < age })
 	if kept < 0 {
 		kept = len(s.log)
@@ -31,7 +42,20 @@
 	s.droppedRevision = min(s.droppedRevision, s.revision)
 	s.objects = replay(s.log)
 	s.restorations++
-	s.notifyWatches()
+}
+
+// writeAgain makes the objects of a kind those that were lost. The caller must hold s.mu.
+func (s *Store) writeAgain(kind string, lost map[string]*Object) {
+	for _, name := range slices.Sorted(maps.Keys(s.objects[kind])) {
+		if lost[name] == nil {
+			s.remove(kind, name)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(lost)) {
+		if restored := s.objects[kind][name]; restored == nil || !bytes.Equal(restored.Spec, lost[name].Spec) {
+			s.put(kind, name, lost[name].Spec)
+		}
+	}
 }
 
 // replay returns the objects by kind and name after changes.
@@ -66,9 +90,6 @@
 	return s.faults.Outage == Unavailable
 }
 
-// operatorKinds are the kinds of objects that operators write.
-var operatorKinds = []string{"config", "evacuations"}
-
 // restoredDelay is the response time of a restored store. Without one, calls that are repeated
 // without a pause stop the virtual clock.
 const restoredDelay = 4 * time.Millisecond
@@ -80,41 +101,11 @@
 	s.RelaxBounds()
 	s.Store.SetFaults(StoreFaults{Outage: Unavailable})
 	time.Sleep(outage)
-	written := make(map[string]map[string]map[string]any)
-	for _, kind := range operatorKinds {
-		written[kind] = s.Store.specs(kind)
-	}
-	s.Store.Restore(age)
-	for _, kind := range operatorKinds {
-		s.Store.replaceAll(kind, written[kind])
-	}
+	s.Store.Restore(age, "config", "evacuations")
 	s.Store.SetFaults(StoreFaults{Delay: restoredDelay})
 	s.RelaxBounds()
 }
 
-// specs returns the contents of the objects of a kind by name.
-func (s *Store) specs(kind string) map[string]map[string]any {
-	specs := make(map[string]map[string]any)
-	for _, name := range s.Names(kind) {
-		specs[name] = s.spec(kind, name)
-	}
-	return specs
-}
-
-// replaceAll makes the objects of a kind those with the given contents.
-func (s *Store) replaceAll(kind string, specs map[string]map[string]any) {
-	for _, name := range s.Names(kind) {
-		if specs[name] == nil {
-			s.Delete(kind, name)
-		}
-	}
-	for _, name := range slices.Sorted(maps.Keys(specs)) {
-		if !reflect.DeepEqual(s.spec(kind, name), specs[name]) {
-			s.Put(kind, name, specs[name])
-		}
-	}
-}
-
 // lostConfigurations is the number of configurations that only a lost part of the store's
 // history contains.
 const lostConfigurations = 20
--- a/platformstandin/store.go
+++ b/platformstandin/store.go
@@ -93,6 +93,11 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.put(kind, name, data)
+}
+
+// put creates or replaces an object. The caller must hold s.mu.
+func (s *Store) put(kind, name string, spec json.RawMessage) uint64 {
 	if s.objects == nil {
 		s.objects = make(map[string]map[string]*Object)
 	}
@@ -105,7 +110,7 @@
 		object = &Object{Meta: Meta{Name: name, CreatedRev: s.revision}}
 		s.objects[kind][name] = object
 	}
-	object.Spec = data
+	object.Spec = spec
 	object.Meta.Revision = s.revision
 	s.recordEvent(kind, *object, false)
 	return s.revision
@@ -115,6 +120,11 @@
 func (s *Store) Delete(kind, name string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.remove(kind, name)
+}
+
+// remove removes an object, if it is there. The caller must hold s.mu.
+func (s *Store) remove(kind, name string) {
 	object := s.objects[kind][name]
 	if object == nil {
 		return
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -96,6 +96,7 @@
 	random := rand.New(rand.NewPCG(s.Seed, 7))
 	kinds := faults()
 	var injected sync.WaitGroup
+	injected.Go(func() { s.restoreStore(site) })
 	for time.Since(s.startedAt) < s.Length*3/4 {
 		time.Sleep(time.Duration(300+random.IntN(1200)) * time.Millisecond)
 		fault := kinds[random.IntN(len(kinds))]
@@ -106,11 +107,12 @@
 		injected.Go(func() { fault.inject(s, site, s.machines[node], duration, number) })
 	}
 	injected.Wait()
+	s.checkConfigurations(site)
 	s.checkMemory(site)
 }
 
 // fault is a kind of fault that a soak injects. The number that is passed to inject
-// selects a target, the mode of a proxy or the version of a configuration.
+// selects a target or the mode of a proxy.
 type fault struct {
 	name   string
 	inject func(s *Soak, site *platformstandin.Site, m *machine, duration time.Duration, number int)
@@ -159,8 +161,8 @@
 		{"release", func(_ *Soak, site *platformstandin.Site, _ *machine, _ time.Duration, number int) {
 			site.ReplaceTarget(number)
 		}},
-		{"configure", func(_ *Soak, site *platformstandin.Site, _ *machine, _ time.Duration, number int) {
-			site.Configure(number+2, nil)
+		{"configure", func(_ *Soak, site *platformstandin.Site, _ *machine, _ time.Duration, _ int) {
+			site.Reconfigure()
 		}},
 		{"evacuate", func(_ *Soak, site *platformstandin.Site, m *machine, duration time.Duration, _ int) {
 			site.Evacuate(m.node.Zone)
