registry: Start a new history with the first publication after a restoration

What operators would see: a revision that is published after a restoration has the number of a lost one, which hosts have in force, so they never adopt it. A publication whose base was lost ends with an unknown outcome; a restoration between reading the base and writing the head lets it replace another one, since the version of the head is assigned again.

Fix: heads and revisions record the store's epoch, from the header Store-Era. The first publication in a new epoch starts a new history, which hosts adopt at once; it names the earlier revisions with their histories, for rollbacks. Versions of an earlier epoch are discarded, and a base of an earlier epoch conflicts. Prune deletes old revisions of all histories. catalogue and registry share fleet.StoreEpoch.

A store without the header behaves as before.

--- a/catalogue/restoration.go
+++ b/catalogue/restoration.go
@@ -115,7 +115,7 @@
 
 // retainedHosts returns the hosts that stay known when all records of an epoch are read:
 // those of earlier epochs, for a time.
-func (t *Tracker) retainedHosts(now time.Time, epoch Epoch) map[string]Record {
+func (t *Tracker) retainedHosts(now time.Time, epoch fleet.StoreEpoch) map[string]Record {
 	hosts := make(map[string]Record)
 	if !now.Before(t.retained.until[Hosts]) {
 		return hosts
--- a/catalogue/restoration_test.go
+++ b/catalogue/restoration_test.go
@@ -11,14 +11,14 @@
 )
 
 // at returns a version of an epoch.
-func at(epoch catalogue.Epoch, revision catalogue.Revision) catalogue.Version {
-	return epoch.Version(revision)
+func at(epoch fleet.StoreEpoch, revision catalogue.Revision) catalogue.Version {
+	return catalogue.NewVersion(epoch, revision)
 }
 
 func TestVersionsOfEpochsAreOrdered(t *testing.T) {
 	is := is.New(t)
 	is.True(at(1, 900) < at(2, 3))
-	is.Equal(at(2, 3).Epoch(), catalogue.Epoch(2))
+	is.Equal(at(2, 3).Epoch(), fleet.StoreEpoch(2))
 	is.Equal(at(2, 3).Revision(), catalogue.Revision(3))
 	is.Equal(at(2, 3).String(), "2:3")
 	is.Equal(at(0, 3).String(), "3")
--- a/catalogue/version.go
+++ b/catalogue/version.go
@@ -1,10 +1,10 @@
 package catalogue
 
-import "strconv"
+import (
+	"strconv"
 
-// Epoch counts the restorations of the platform's store from an older copy. Zero means that
-// the store does not report it.
-type Epoch uint16
+	"github.com/rattanthread/rattanthread/fleet"
+)
 
 // Revision is a revision of the platform's store. It increases with each change of an epoch.
 // A restored store assigns the revisions after that of the copy again.
@@ -21,12 +21,12 @@
 // all states.
 type Version uint64
 
-// Version returns the version of a revision of the epoch. Revisions above MaxRevision are
+// NewVersion returns the version of a revision of an epoch. Revisions above MaxRevision are
 // not valid.
-func (e Epoch) Version(r Revision) Version { return Version(e)<<revisionBits | Version(r) }
+func NewVersion(e fleet.StoreEpoch, r Revision) Version { return Version(e)<<revisionBits | Version(r) }
 
 // Epoch returns the epoch of the version.
-func (v Version) Epoch() Epoch { return Epoch(v >> revisionBits) }
+func (v Version) Epoch() fleet.StoreEpoch { return fleet.StoreEpoch(v >> revisionBits) }
 
 // Revision returns the revision of the version.
 func (v Version) Revision() Revision { return Revision(v) & MaxRevision }
--- a/config/set.go
+++ b/config/set.go
@@ -31,6 +31,8 @@
 	History   fleet.HistoryID `cbor:"history"`
 	Revision  fleet.Revision  `cbor:"revision"`
 	Published time.Time       `cbor:"published"`
+	// Epoch is the epoch of the store in which the set was published.
+	Epoch fleet.StoreEpoch `cbor:"epoch,omitempty"`
 	// Publication identifies the attempt that published the set. A publisher
 	// that received no response uses it to recognise its own attempt.
 	Publication string `cbor:"publication"`
@@ -45,6 +47,8 @@
 type PublicationRef struct {
 	Revision    fleet.Revision `cbor:"revision"`
 	Publication string         `cbor:"publication"`
+	// History is empty for the history of the set that lists the publication.
+	History fleet.HistoryID `cbor:"history,omitempty"`
 }
 
 // DataCentre is a site with its own entry hosts and backend servers.
--- a/entry/epoch.go
+++ b/entry/epoch.go
@@ -1,9 +1,9 @@
 package entry
 
-import "github.com/rattanthread/rattanthread/catalogue"
+import "github.com/rattanthread/rattanthread/fleet"
 
 // observeEpoch records the epoch of a response of the store.
-func (h *Host) observeEpoch(epoch catalogue.Epoch) {
+func (h *Host) observeEpoch(epoch fleet.StoreEpoch) {
 	for {
 		known := h.storeEpoch.Load()
 		if uint64(epoch) <= known {
--- a/entry/reader.go
+++ b/entry/reader.go
@@ -7,6 +7,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/rattanthread/rattanthread/catalogue"
+	"github.com/rattanthread/rattanthread/fleet"
 	"github.com/rattanthread/rattanthread/platform"
 )
 
@@ -20,7 +21,7 @@
 	// since.
 	staleList *catalogue.Update
 	// epoch is the store's epoch in the last successful call.
-	epoch catalogue.Epoch
+	epoch fleet.StoreEpoch
 }
 
 func (r *storeReader) run(ctx context.Context) error {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -30,9 +30,14 @@
 type Revision uint64
 
 // HistoryID identifies an unbroken sequence of revisions. It changes when the
-// platform store is recreated, after which revision numbers may start again.
+// platform store is recreated or restored from an older copy, after which revision numbers
+// may be assigned again.
 type HistoryID string
 
+// StoreEpoch counts the restorations of the platform's store from an older copy. Zero means
+// that the store does not report it.
+type StoreEpoch uint16
+
 // Incarnation identifies one run of a host or server. A restart increases it.
 type Incarnation uint64
 
--- a/registry/client.go
+++ b/registry/client.go
@@ -16,6 +16,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/rattanthread/rattanthread/fleet"
 )
 
 // DefaultTimeout is the timeout of calls by a client whose Timeout is zero.
@@ -43,6 +45,8 @@
 	counts   [len(countedCalls)]atomic.Uint64
 	mu       sync.Mutex
 	lastHead Head
+	// epoch is the latest known epoch of the store.
+	epoch fleet.StoreEpoch
 	// hostVersions holds the versions of the host objects that this client wrote, by
 	// object name.
 	hostVersions map[string]Version
--- a/registry/fetch.go
+++ b/registry/fetch.go
@@ -32,7 +32,7 @@
 	if head.Revision == 0 {
 		return config.PublishedSet{}, c.newError(StepFetch, ErrNotFound, errors.New("no revision is published"))
 	}
-	published, err := c.fetch(ctx, head.History, config.PublicationRef{Revision: head.Revision, Publication: head.Publication})
+	published, err := c.fetch(ctx, config.PublicationRef{Revision: head.Revision, Publication: head.Publication, History: head.History})
 	if errors.Is(err, ErrNotFound) {
 		// The revision is written before the head, so a read that misses it lags.
 		return config.PublishedSet{}, c.newError(StepFetch, ErrUnavailable, errors.Errorf("revision %d is not visible yet", head.Revision))
@@ -44,14 +44,14 @@
 // latest to the earliest. It needs few calls, since each revision lists up to
 // maxEarlierPublications earlier ones.
 func (c *Client) findRevision(ctx context.Context, head Head, match func(config.PublicationRef) bool) (config.PublishedSet, error) {
-	ref := config.PublicationRef{Revision: head.Revision, Publication: head.Publication}
+	ref := config.PublicationRef{Revision: head.Revision, Publication: head.Publication, History: head.History}
 	for {
-		published, err := c.fetch(ctx, head.History, ref)
+		published, err := c.fetch(ctx, ref)
 		if err != nil || match(ref) {
 			return published, err
 		}
 		for _, earlier := range published.EarlierPublications {
-			ref = earlier
+			ref = inHistory(earlier, published.History)
 			if match(earlier) {
 				break
 			}
@@ -62,12 +62,20 @@
 	}
 }
 
-func (c *Client) fetch(ctx context.Context, history fleet.HistoryID, ref config.PublicationRef) (config.PublishedSet, error) {
+// inHistory returns a publication that a set of a history lists, with its own history.
+func inHistory(ref config.PublicationRef, history fleet.HistoryID) config.PublicationRef {
+	if ref.History == "" {
+		ref.History = history
+	}
+	return ref
+}
+
+func (c *Client) fetch(ctx context.Context, ref config.PublicationRef) (config.PublishedSet, error) {
 	obj, _, err := c.do(ctx, apiCall{
 		step:             StepFetch,
 		kind:             CallRead,
 		method:           http.MethodGet,
-		name:             revisionName(history, ref),
+		name:             revisionName(ref),
 		maxResponseBytes: MaxObjectBytes,
 	})
 	if err != nil {
@@ -83,6 +91,6 @@
 // revisionName returns the object name of a revision. It includes the publication,
 // so that concurrent publishers of the same revision number write different objects
 // and only the update of the head decides between them.
-func revisionName(history fleet.HistoryID, ref config.PublicationRef) string {
-	return fmt.Sprintf("configuration/revisions/%s/%d-%s", history, ref.Revision, ref.Publication)
+func revisionName(ref config.PublicationRef) string {
+	return fmt.Sprintf("configuration/revisions/%s/%d-%s", ref.History, ref.Revision, ref.Publication)
 }
--- a/registry/head.go
+++ b/registry/head.go
@@ -25,6 +25,10 @@
 	Publication string          `json:"publication"`
 	Published   time.Time       `json:"published"`
 	Message     string          `json:"message,omitempty"`
+	// Epoch is the epoch of the store in which the revision was published.
+	Epoch fleet.StoreEpoch `json:"epoch,omitempty"`
+	// ReadEpoch is the epoch of the store from which the head was read.
+	ReadEpoch fleet.StoreEpoch `json:"-"`
 	// Version is the version of the head object, on which the next publication is
 	// conditional.
 	Version Version `json:"-"`
@@ -37,6 +41,8 @@
 		Publication: r.Publication,
 		Published:   r.Published,
 		Message:     r.Message,
+		Epoch:       r.Epoch,
+		ReadEpoch:   r.Epoch,
 	}
 }
 
@@ -87,7 +93,7 @@
 	obj, status, err := c.do(ctx, call)
 	switch {
 	case errors.Is(err, ErrNotFound):
-		return Head{}, nil
+		return Head{ReadEpoch: obj.epoch}, nil
 	case err != nil:
 		return Head{}, err
 	case status == http.StatusNoContent:
@@ -97,7 +103,7 @@
 	if err := json.Unmarshal(obj.value, &head); err != nil {
 		return Head{}, c.newError(call.step, ErrUnavailable, errors.Wrap(err, "decode head"))
 	}
-	head.Version = obj.version
+	head.Version, head.ReadEpoch = obj.version, obj.epoch
 	c.cacheHead(head)
 	return head, nil
 }
@@ -109,10 +115,13 @@
 }
 
 // cacheHead caches a head that has a higher version than the cached one or is from
-// a recreated store.
+// a recreated store, but none that was read before a restoration of the store.
 func (c *Client) cacheHead(head Head) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if head.ReadEpoch < c.epoch {
+		return
+	}
 	if head.History != c.lastHead.History || head.Version > c.lastHead.Version {
 		c.lastHead = head
 	}
--- a/registry/object.go
+++ b/registry/object.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/rattanthread/rattanthread/fleet"
 )
 
 // Version is the version of an object. It increases with every write and is the
@@ -21,8 +23,13 @@
 type object struct {
 	value   []byte
 	version Version
+	// epoch is the epoch of the store that returned the object.
+	epoch fleet.StoreEpoch
 }
 
+// epochHeader is the response header with the store's epoch.
+const epochHeader = "Store-Era"
+
 // apiCall describes one call of the object API.
 type apiCall struct {
 	step   Step
@@ -60,7 +67,8 @@
 		c.count(CallFailed)
 		return object{}, 0, c.newError(call.step, ErrUnavailable, err)
 	}
-	obj := object{value: value, version: parseETag(response.Header.Get("ETag"))}
+	obj := object{value: value, version: parseETag(response.Header.Get("ETag")), epoch: parseEpoch(response.Header.Get(epochHeader))}
+	c.observeEpoch(obj.epoch)
 	if kind := errorKind(response.StatusCode); kind != nil {
 		return obj, response.StatusCode, c.statusError(call.step, kind, response, obj)
 	}
@@ -136,6 +144,32 @@
 	return data, nil
 }
 
+// parseEpoch returns the epoch in a header, or zero if it is missing or malformed.
+func parseEpoch(header string) fleet.StoreEpoch {
+	epoch, err := strconv.ParseUint(header, 10, 16)
+	if err != nil {
+		return 0
+	}
+	return fleet.StoreEpoch(epoch)
+}
+
+// observeEpoch discards the versions that were read before the store was restored, since the
+// store assigns them again.
+func (c *Client) observeEpoch(epoch fleet.StoreEpoch) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if epoch > c.epoch {
+		c.epoch, c.lastHead, c.hostVersions = epoch, Head{}, nil
+	}
+}
+
+// currentEpoch returns the latest known epoch of the store.
+func (c *Client) currentEpoch() fleet.StoreEpoch {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.epoch
+}
+
 func formatETag(v Version) string { return `"` + strconv.FormatUint(uint64(v), 10) + `"` }
 
 func parseETag(tag string) Version {
--- a/registry/prune.go
+++ b/registry/prune.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -14,22 +13,24 @@
 	"github.com/rattanthread/rattanthread/fleet"
 )
 
+// revisionPrefix is the prefix of the names of all revisions.
+const revisionPrefix = "configuration/revisions/"
+
 // maxPrunedPerCall is the maximum number of objects that a call of Prune deletes.
 const maxPrunedPerCall = 100
 
-// Prune deletes the revisions that are keep or more behind the head, including
-// those that were stored but never in force, and returns the number deleted. A call
+// Prune deletes the revisions that are keep or more behind the head, including those of
+// earlier histories and those that were stored but never in force, and returns the number deleted. A call
 // deletes at most 100. Deleted revisions can no longer be fetched or restored by a
 // rollback.
 func (c *Client) Prune(ctx context.Context, head Head, keep uint64) (int, error) {
-	prefix := fmt.Sprintf("configuration/revisions/%s/", head.History)
-	names, err := c.listNames(ctx, prefix)
+	names, err := c.listNames(ctx, revisionPrefix)
 	if err != nil {
 		return 0, err
 	}
 	deleted := 0
 	for _, name := range names {
-		rev, ok := parseRevision(strings.TrimPrefix(name, prefix))
+		rev, ok := parseRevision(name[strings.LastIndexByte(name, '/')+1:])
 		if !ok || uint64(rev)+keep > uint64(head.Revision) || deleted == maxPrunedPerCall {
 			continue
 		}
--- a/registry/publish.go
+++ b/registry/publish.go
@@ -54,6 +54,9 @@
 		return config.PublishedSet{}, c.newError(StepStore, ErrRefused, errors.Errorf("bad publication id %q", draft.Publication))
 	}
 	next, done, err := c.prepareRevision(ctx, base, draft)
+	if errors.Is(err, errBaseLost) {
+		return c.resolveConflict(ctx, base, next, 0)
+	}
 	if err != nil || done {
 		return next, err
 	}
@@ -67,6 +70,9 @@
 	return c.advanceHead(ctx, base, stored)
 }
 
+// errBaseLost means that a restoration of the store may have lost the base of a publication.
+var errBaseLost = errors.New("the store was restored from an older copy after the base was read")
+
 // prepareRevision returns the revision to publish after base, or the published
 // revision and true if base is or descends from this publication.
 func (c *Client) prepareRevision(ctx context.Context, base Head, draft Draft) (config.PublishedSet, bool, error) {
@@ -74,6 +80,7 @@
 		History:     base.History,
 		Revision:    base.Revision + 1,
 		Published:   c.now().UTC(),
+		Epoch:       base.ReadEpoch,
 		Publication: draft.Publication,
 		Message:     draft.Message,
 	}
@@ -84,28 +91,48 @@
 		next.Set = draft.Set.Normalised().WithStateTimes(config.Set{}, next.Published)
 		return next, false, nil
 	}
-	previous, err := retry(ctx, c, func() (config.PublishedSet, error) { return c.FetchHead(ctx, base) })
+	previous, err := retry(ctx, c, func() (config.PublishedSet, error) {
+		previous, err := c.FetchHead(ctx, base)
+		if errors.Is(err, ErrUnavailable) && base.ReadEpoch != 0 && base.ReadEpoch != c.currentEpoch() {
+			return previous, errBaseLost
+		}
+		return previous, err
+	})
 	if err != nil {
-		return config.PublishedSet{}, false, err
+		return next, false, err
 	}
 	if previous.Publication == draft.Publication {
 		return previous, true, nil
 	}
 	for _, earlier := range previous.EarlierPublications {
 		if earlier.Publication == draft.Publication {
-			found, err := c.fetch(ctx, base.History, earlier)
+			found, err := c.fetch(ctx, inHistory(earlier, previous.History))
 			return found, err == nil, err
 		}
 	}
+	if base.Epoch != 0 && base.Epoch < base.ReadEpoch {
+		// Revisions after the base may be lost. Hosts that have them must not take this one
+		// for one of them.
+		next.History = fleet.HistoryID(draft.Publication)
+	}
 	next.Set = draft.Set.Normalised().WithStateTimes(previous.Set, next.Published)
-	next.EarlierPublications = earlierPublications(previous)
+	next.EarlierPublications = earlierPublications(previous, next.History)
 	return next, false, nil
 }
 
-func earlierPublications(previous config.PublishedSet) []config.PublicationRef {
-	latest := config.PublicationRef{Revision: previous.Revision, Publication: previous.Publication}
-	earlier := append([]config.PublicationRef{latest}, previous.EarlierPublications...)
-	return earlier[:min(len(earlier), maxEarlierPublications)]
+// earlierPublications returns the publications before the next one, which is in a history.
+func earlierPublications(previous config.PublishedSet, history fleet.HistoryID) []config.PublicationRef {
+	earlier := []config.PublicationRef{{Revision: previous.Revision, Publication: previous.Publication, History: previous.History}}
+	for _, ref := range previous.EarlierPublications {
+		earlier = append(earlier, inHistory(ref, previous.History))
+	}
+	earlier = earlier[:min(len(earlier), maxEarlierPublications)]
+	for i := range earlier {
+		if earlier[i].History == history {
+			earlier[i].History = ""
+		}
+	}
+	return earlier
 }
 
 // storeRevision creates the object of a revision and returns the stored revision,
@@ -115,10 +142,10 @@
 	if err != nil {
 		return config.PublishedSet{}, c.newError(StepStore, ErrRefused, err)
 	}
-	ref := config.PublicationRef{Revision: next.Revision, Publication: next.Publication}
+	ref := config.PublicationRef{Revision: next.Revision, Publication: next.Publication, History: next.History}
 	_, err = c.putWithRetry(ctx, apiCall{
 		step:  StepStore,
-		name:  revisionName(next.History, ref),
+		name:  revisionName(ref),
 		value: value,
 	}, 0)
 	if errors.Is(err, ErrConflict) {
@@ -130,6 +157,10 @@
 
 // advanceHead moves the head from base to the stored revision.
 func (c *Client) advanceHead(ctx context.Context, base Head, stored config.PublishedSet) (config.PublishedSet, error) {
+	if base.ReadEpoch != 0 && base.ReadEpoch != c.currentEpoch() {
+		// The restored store may have assigned the version of the base to another head.
+		return c.resolveConflict(ctx, base, stored, 0)
+	}
 	head := headOf(stored)
 	value, err := json.Marshal(head)
 	if err != nil {
--- a/registrystandin/server.go
+++ b/registrystandin/server.go
@@ -39,13 +39,15 @@
 	// WritesPerSecond and ReadsPerSecond limit the call rates; zero means the defaults.
 	WritesPerSecond, ReadsPerSecond float64
 
-	mu      sync.Mutex
-	store   store
-	faults  Faults
-	counts  Counts
-	writes  *rate.Limiter
-	reads   *rate.Limiter
-	changed chan struct{}
+	mu    sync.Mutex
+	store store
+	// restorations counts the restorations from an older copy.
+	restorations uint64
+	faults       Faults
+	counts       Counts
+	writes       *rate.Limiter
+	reads        *rate.Limiter
+	changed      chan struct{}
 }
 
 // Counts are the numbers of calls to the server. A watch counts as one call.
@@ -79,8 +81,29 @@
 	s.notifyWatchers()
 }
 
+// Restore replaces all objects by a copy that is as old as age. Versions continue from the
+// copy, and waiting watches are closed without a response.
+func (s *Server) Restore(age time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.store.revert(s.readTime(age))
+	s.restorations++
+	s.notifyWatchers()
+}
+
+// epoch returns the number of the store's epoch, from 1.
+func (s *Server) epoch() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return 1 + s.restorations
+}
+
+// epochHeader is the header of the store's epoch in responses.
+const epochHeader = "Store-Era"
+
 // ServeHTTP serves the object API and the control endpoints.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(epochHeader, strconv.FormatUint(s.epoch(), 10))
 	switch {
 	case r.URL.Path == objectsPath || strings.HasPrefix(r.URL.Path, objectsPath+"/"):
 		s.serveObjects(w, r, strings.TrimPrefix(strings.TrimPrefix(r.URL.Path, objectsPath), "/"))
@@ -91,11 +114,23 @@
 	case r.URL.Path == "/reset" && r.Method == http.MethodPost:
 		s.Reset()
 		w.WriteHeader(http.StatusNoContent)
+	case r.URL.Path == "/restore" && r.Method == http.MethodPost:
+		s.serveRestore(w, r)
 	default:
 		http.NotFound(w, r)
 	}
 }
 
+func (s *Server) serveRestore(w http.ResponseWriter, r *http.Request) {
+	age, err := time.ParseDuration(r.URL.Query().Get("age"))
+	if err != nil || age < 0 {
+		http.Error(w, "bad age", http.StatusBadRequest)
+		return
+	}
+	s.Restore(age)
+	w.WriteHeader(http.StatusNoContent)
+}
+
 func (s *Server) serveObjects(w http.ResponseWriter, r *http.Request, name string) {
 	query := r.URL.Query()
 	write := r.Method == http.MethodPut || r.Method == http.MethodDelete
@@ -185,6 +220,7 @@
 	}
 	timeout := time.NewTimer(min(wait, MaxWait))
 	defer timeout.Stop()
+	epoch := s.epoch()
 	for {
 		e, ok, changed, lag := s.readForWatch(name)
 		if ok && e.version > registry.Version(after) {
@@ -202,6 +238,9 @@
 			w.WriteHeader(http.StatusNoContent)
 			return
 		}
+		if s.epoch() != epoch {
+			panic(http.ErrAbortHandler)
+		}
 		if s.Faults().Down {
 			s.injectFaults()
 		}
--- a/registrystandin/server_test.go
+++ b/registrystandin/server_test.go
@@ -99,6 +99,32 @@
 	is.Equal(status, 404)
 }
 
+func TestRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var server registrystandin.Server
+		client := server.HTTPClient()
+		call := func(method, path string) *http.Response {
+			request, err := http.NewRequestWithContext(t.Context(), method, "http://platform.test"+path, strings.NewReader("value"))
+			is.NoErr(err)
+			response, err := client.Do(request)
+			is.NoErr(err)
+			is.NoErr(response.Body.Close())
+			return response
+		}
+		is.Equal(call(http.MethodPut, "/v1/objects/kept").Header.Get("Store-Era"), "1")
+		time.Sleep(2 * time.Second)
+		is.Equal(call(http.MethodPut, "/v1/objects/lost").Header.Get("ETag"), `"2"`)
+		is.Equal(call(http.MethodPost, "/restore?age=-1s").StatusCode, http.StatusBadRequest)
+		is.Equal(call(http.MethodPost, "/restore?age=1s").StatusCode, http.StatusNoContent)
+		is.Equal(call(http.MethodGet, "/v1/objects/kept").StatusCode, http.StatusOK)
+		is.Equal(call(http.MethodGet, "/v1/objects/lost").StatusCode, http.StatusNotFound)
+		again := call(http.MethodPut, "/v1/objects/again")
+		is.Equal(again.Header.Get("ETag"), `"2"`)
+		is.Equal(again.Header.Get("Store-Era"), "2")
+	})
+}
+
 func TestLagAndLease(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/registrystandin/store.go
+++ b/registrystandin/store.go
@@ -40,6 +40,19 @@
 	return e.version
 }
 
+// revert removes all entries that are later than a point in time. Versions continue from the
+// latest one left.
+func (s *store) revert(asOf time.Time) {
+	s.version = 0
+	for name, entries := range s.objects {
+		kept := slices.DeleteFunc(entries, func(e entry) bool { return e.at.After(asOf) })
+		s.objects[name] = kept
+		if len(kept) > 0 {
+			s.version = max(s.version, kept[len(kept)-1].version)
+		}
+	}
+}
+
 // entryAt returns the entry of an object that was current at a point in time. It
 // returns false if the object did not exist then or its lease has expired by now.
 func (s *store) entryAt(name string, asOf, now time.Time) (entry, bool) {
--- a/viewcheck/host.go
+++ b/viewcheck/host.go
@@ -92,7 +92,7 @@
 // have them.
 func (s *simulation) watch(after, version catalogue.Version) (catalogue.Update, bool) {
 	if s.mutant == IgnoreEpoch {
-		after = s.store.number().Version(after.Revision())
+		after = catalogue.NewVersion(s.store.number(), after.Revision())
 	}
 	return s.store.watch(after, version)
 }
@@ -102,7 +102,7 @@
 	if s.mutant == TrustRevision {
 		return s.store.version()
 	}
-	version := s.store.number().Version(firstRevision)
+	version := catalogue.NewVersion(s.store.number(), firstRevision)
 	for _, r := range page.Records {
 		version = max(version, r.Changed)
 	}
--- a/viewcheck/store.go
+++ b/viewcheck/store.go
@@ -41,11 +41,11 @@
 func (s *store) version() catalogue.Version { return s.lastVersion(s.number()) }
 
 // number returns the number of the current epoch.
-func (s *store) number() catalogue.Epoch { return catalogue.Epoch(len(s.epochs)) }
+func (s *store) number() fleet.StoreEpoch { return fleet.StoreEpoch(len(s.epochs)) }
 
 // lastVersion returns the last version of an epoch.
-func (s *store) lastVersion(number catalogue.Epoch) catalogue.Version {
-	return number.Version(firstRevision + catalogue.Revision(len(s.epochs[number-1].changes)))
+func (s *store) lastVersion(number fleet.StoreEpoch) catalogue.Version {
+	return catalogue.NewVersion(number, firstRevision+catalogue.Revision(len(s.epochs[number-1].changes)))
 }
 
 // restore starts an epoch from a copy of the current one at a revision.
@@ -65,7 +65,7 @@
 		if c.removed {
 			delete(records, c.name)
 		} else {
-			records[c.name] = number.Version(firstRevision + 1 + catalogue.Revision(i))
+			records[c.name] = catalogue.NewVersion(number, firstRevision+1+catalogue.Revision(i))
 		}
 	}
 	return records
