entry: A witness of a probe must be connected promptly

Cause: a host that joins a burst probes some 40 servers at once over a link of its own that is congested. Three attempts at one server found no answer in 200 ms; the witness, another server, was connected late but in time.

Fix: the witness counts only if its connection is accepted or refused within 50 ms. It is probed together with the last attempt, so the same path is free for that one. Otherwise the result is inconclusive, and the probe is repeated 0.2 s later.

Evidence: two new cases of TestProbeWithoutWitness failed without the rule.

--- a/entry/network.go
+++ b/entry/network.go
@@ -30,8 +30,9 @@
 	Receive func(buffer []byte) (int, error)
 	Send    func(datagram []byte, to netip.AddrPort) error
 	// Identify sends a health check to a server and returns the ID that it responds with.
-	// The ID is empty if the connection was accepted but no ID was received.
-	Identify func(ctx context.Context, to netip.AddrPort, path string) (fleet.ServerID, error)
+	// The ID is empty if the connection was accepted but no ID was received. It calls connected
+	// when the connection is open.
+	Identify func(ctx context.Context, to netip.AddrPort, path string, connected func()) (fleet.ServerID, error)
 	// Serve serves health checks until ctx ends.
 	Serve func(ctx context.Context, checks http.Handler) error
 	// ServeMetrics serves metrics until ctx ends.
--- a/entry/probe.go
+++ b/entry/probe.go
@@ -27,6 +27,9 @@
 	// maxProbeDuration is the longest probe whose failure is conclusive. If it takes longer,
 	// the host itself was delayed.
 	maxProbeDuration = probeTimeout + 3*attemptInterval
+	// witnessTimeout bounds the connection to a witness. It exceeds the round trip between two
+	// data centres.
+	witnessTimeout = 50 * time.Millisecond
 	// probeInterval is the time between probes of an unreachable server.
 	probeInterval = time.Second
 	// inconclusiveRetryDelay is the time until an inconclusive first probe is repeated.
@@ -121,8 +124,8 @@
 
 // probeOnce probes a server. It makes several attempts, since a packet may be lost; two
 // refusals mean that no server runs there. So does a response of another server, to which
-// the address was reassigned. The witnesses are probed along with the last attempt: if they
-// don't respond either, the result is inconclusive.
+// the address was reassigned. The witnesses are probed along with the last attempt: if none is
+// connected at once, the host itself may be delayed and the result is inconclusive.
 func (h *Host) probeOnce(ctx context.Context, server *catalogue.Server, witnesses []*catalogue.Server, attempts int) placement.Evidence {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
@@ -148,7 +151,7 @@
 		case result := <-results:
 			switch {
 			case result.witness:
-				witnessResponded = witnessResponded || result.err == nil || result.refused()
+				witnessResponded = witnessResponded || result.prompt()
 			case result.err == nil && (result.id == "" || result.id == server.ID):
 				return placement.Accepted
 			case result.err == nil:
@@ -171,8 +174,13 @@
 // identify makes one attempt of a probe.
 func (h *Host) identify(ctx context.Context, server *catalogue.Server, witness bool, results chan<- probeResult) {
 	path := h.snapshot.Load().catalogue.Service(server.Service).HealthPath
-	id, err := h.network.Identify(ctx, server.Address, path)
-	results <- probeResult{witness: witness, id: id, err: err}
+	began := h.network.Now()
+	var connectTime time.Duration
+	id, err := h.network.Identify(ctx, server.Address, path, func() { connectTime = h.network.Now().Sub(began) })
+	if err != nil {
+		connectTime = h.network.Now().Sub(began)
+	}
+	results <- probeResult{witness: witness, id: id, err: err, connectTime: connectTime}
 }
 
 // probeResult is the result of an attempt. The ID may be empty, as in Network.Identify.
@@ -180,12 +188,20 @@
 	witness bool
 	id      fleet.ServerID
 	err     error
+	// connectTime is the time until the connection was accepted or refused.
+	connectTime time.Duration
 }
 
 func (r probeResult) refused() bool {
 	return errors.Is(r.err, syscall.ECONNREFUSED) || errors.Is(r.err, syscall.ECONNRESET)
 }
 
+// prompt reports whether the connection was accepted or refused so soon that the host's own
+// link and processor were not congested.
+func (r probeResult) prompt() bool {
+	return (r.err == nil || r.refused()) && r.connectTime <= witnessTimeout
+}
+
 // awaitLateResults waits for the attempts that the timeout has interrupted. An accepted
 // connection without a response means that the server is alive but slow.
 func (h *Host) awaitLateResults(results <-chan probeResult, witnessResponded bool) placement.Evidence {
@@ -197,7 +213,7 @@
 			if result.err == nil && !result.witness {
 				return placement.Accepted
 			}
-			witnessResponded = witnessResponded || result.err == nil
+			witnessResponded = witnessResponded || result.witness && result.prompt()
 		case <-timer.C:
 			if witnessResponded {
 				return placement.Silent
--- a/entry/probe_test.go
+++ b/entry/probe_test.go
@@ -23,8 +23,10 @@
 // probeResponse is how an address responds to one attempt of a probe.
 type probeResponse struct {
 	after time.Duration // 0 means never
-	id    fleet.ServerID
-	err   error
+	// connectAfter is the time until the connection is open.
+	connectAfter time.Duration
+	id           fleet.ServerID
+	err          error
 }
 
 var (
@@ -43,12 +45,16 @@
 		close(queue)
 		queues[address] = queue
 	}
-	return entry.Network{Identify: func(ctx context.Context, to netip.AddrPort, _ string) (fleet.ServerID, error) {
+	return entry.Network{Now: time.Now, Identify: func(ctx context.Context, to netip.AddrPort, _ string, connected func()) (fleet.ServerID, error) {
 		response := <-queues[to]
 		if response.after == 0 {
 			<-ctx.Done()
 			return "", errNoResponse
 		}
+		if response.err == nil {
+			time.Sleep(response.connectAfter)
+			connected()
+		}
 		select {
 		case <-time.After(response.after):
 			return response.id, response.err
@@ -99,6 +105,8 @@
 		{"no witness", nil, nil, placement.Unclear},
 		{"the witness does not respond either", []*catalogue.Server{witness}, []probeResponse{{}}, placement.Unclear},
 		{"the witness accepts late", []*catalogue.Server{witness}, []probeResponse{{after: 220 * time.Millisecond}}, placement.Silent},
+		{"the witness is connected late, as the host's link is congested", []*catalogue.Server{witness}, []probeResponse{{connectAfter: 70 * time.Millisecond, after: time.Millisecond}}, placement.Unclear},
+		{"the witness refuses late", []*catalogue.Server{witness}, []probeResponse{{after: 70 * time.Millisecond, err: syscall.ECONNREFUSED}}, placement.Unclear},
 		{"the witness refuses", []*catalogue.Server{witness}, []probeResponse{{after: time.Millisecond, err: syscall.ECONNREFUSED}}, placement.Silent},
 	}
 	for _, test := range tests {
@@ -132,8 +140,9 @@
 				start := time.Now()
 				var attempts atomic.Int32
 				network := idleNetwork()
-				network.Identify = func(ctx context.Context, to netip.AddrPort, _ string) (fleet.ServerID, error) {
+				network.Identify = func(ctx context.Context, to netip.AddrPort, _ string, connected func()) (fleet.ServerID, error) {
 					if to == witness.Address && test.witnessResponds {
+						connected()
 						return witness.ID, nil
 					}
 					if to == probedServer.Address {
--- a/entry/tree_test.go
+++ b/entry/tree_test.go
@@ -33,7 +33,7 @@
 			return 0, errNoResponse
 		},
 		Send: func([]byte, netip.AddrPort) error { return nil },
-		Identify: func(ctx context.Context, _ netip.AddrPort, _ string) (fleet.ServerID, error) {
+		Identify: func(ctx context.Context, _ netip.AddrPort, _ string, _ func()) (fleet.ServerID, error) {
 			<-ctx.Done()
 			return "", ctx.Err()
 		},
--- a/platformstandin/host.go
+++ b/platformstandin/host.go
@@ -183,13 +183,14 @@
 	}
 }
 
-func (h *memoryHost) identify(ctx context.Context, to netip.AddrPort, _ string) (fleet.ServerID, error) {
+func (h *memoryHost) identify(ctx context.Context, to netip.AddrPort, _ string, connected func()) (fleet.ServerID, error) {
 	if err := h.waitRoundTrip(ctx); err != nil {
 		return "", err
 	}
 	id, state := h.site.targetAt(h.node.Zone, to)
 	switch state {
 	case Running, Draining:
+		connected()
 		return id, nil
 	case Refusing:
 		return "", syscall.ECONNREFUSED
