catalogue: One file for each kind of record; epochs and revisions out of range

A revision that is too large no longer reaches into the next epoch, and a malformed epoch is an error in registry too.

--- a/catalogue/configuration.go
+++ b/catalogue/configuration.go
@@ -64,3 +64,42 @@
 	}
 	return ""
 }
+
+func (t *Tracker) applyConfigurations(update Update) bool {
+	changed := false
+	for _, record := range update.Records {
+		if record.Fault != "" {
+			t.addChange(Change{Kind: ConfigurationUnreadable, Name: record.Name, Version: record.Changed, Fault: record.Fault})
+		}
+		if record.Configuration == nil {
+			continue
+		}
+		if !t.supersedesConfiguration(record) {
+			t.addIgnoredConfiguration(record)
+			continue
+		}
+		t.configuration = record.Configuration
+		t.configurationVersion = record.Changed
+		t.addChange(Change{Kind: ConfigurationInForce, Name: record.Name, Version: record.Changed, Number: t.configuration.Number})
+		changed = true
+	}
+	return changed
+}
+
+// supersedesConfiguration reports whether the configuration of a record replaces the one in
+// force. A restored store may hold an earlier one, so the operators' numbers decide between
+// two of different epochs.
+func (t *Tracker) supersedesConfiguration(record Record) bool {
+	if t.configuration != nil && record.Changed.Epoch() != t.configurationVersion.Epoch() {
+		return record.Configuration.Number >= t.configuration.Number
+	}
+	return record.Changed > t.configurationVersion
+}
+
+// addIgnoredConfiguration adds a change for a configuration that is ignored, unless it is
+// the one in force.
+func (t *Tracker) addIgnoredConfiguration(record Record) {
+	if record.Configuration.Number != t.configuration.Number {
+		t.addChange(Change{Kind: ConfigurationIgnored, Name: record.Name, Version: record.Changed, Number: record.Configuration.Number})
+	}
+}
--- a/catalogue/restoration.go
+++ b/catalogue/restoration.go
@@ -43,17 +43,6 @@
 	t.retained.until[source] = now.Add(grace)
 }
 
-// isOut reports whether a data centre is out of service.
-func (t *Tracker) isOut(id fleet.DataCentreID) bool { return t.evacuated[id] || t.retained.out[id] }
-
-// dataCentresOut returns the data centres that are out of service.
-func (t *Tracker) dataCentresOut() map[fleet.DataCentreID]bool {
-	out := make(map[fleet.DataCentreID]bool)
-	maps.Copy(out, t.evacuated)
-	maps.Copy(out, t.retained.out)
-	return out
-}
-
 // retainEvacuations keeps the data centres out of service that a restored store does not
 // have.
 func (t *Tracker) retainEvacuations(restored map[fleet.DataCentreID]bool, version Version) {
--- a/catalogue/restoration_test.go
+++ b/catalogue/restoration_test.go
@@ -22,6 +22,7 @@
 	is.Equal(at(2, 3).Revision(), catalogue.Revision(3))
 	is.Equal(at(2, 3).String(), "2:3")
 	is.Equal(at(0, 3).String(), "3")
+	is.True(at(1, 1<<60) < at(2, 0))
 }
 
 // TestConfigurationOfRestoredStore guards against configurations that are missed or come back
--- a/catalogue/version.go
+++ b/catalogue/version.go
@@ -21,9 +21,11 @@
 // all states.
 type Version uint64
 
-// NewVersion returns the version of a revision of an epoch. Revisions above MaxRevision are
-// not valid.
-func NewVersion(e fleet.StoreEpoch, r Revision) Version { return Version(e)<<revisionBits | Version(r) }
+// NewVersion returns the version of a revision of an epoch. A revision above MaxRevision counts
+// as MaxRevision, so that it never reaches into the next epoch.
+func NewVersion(e fleet.StoreEpoch, r Revision) Version {
+	return Version(e)<<revisionBits | Version(min(r, MaxRevision))
+}
 
 // Epoch returns the epoch of the version.
 func (v Version) Epoch() fleet.StoreEpoch { return fleet.StoreEpoch(v >> revisionBits) }
--- a/registry/object.go
+++ b/registry/object.go
@@ -67,8 +67,13 @@
 		c.count(CallFailed)
 		return object{}, 0, c.newError(call.step, ErrUnavailable, err)
 	}
-	obj := object{value: value, version: parseETag(response.Header.Get("ETag")), epoch: parseEpoch(response.Header.Get(epochHeader))}
-	c.observeEpoch(obj.epoch)
+	epoch, err := parseEpoch(response.Header.Get(epochHeader))
+	if err != nil {
+		c.count(CallFailed)
+		return object{}, 0, c.newError(call.step, ErrUnavailable, err)
+	}
+	c.observeEpoch(epoch)
+	obj := object{value: value, version: parseETag(response.Header.Get("ETag")), epoch: epoch}
 	if kind := errorKind(response.StatusCode); kind != nil {
 		return obj, response.StatusCode, c.statusError(call.step, kind, response, obj)
 	}
@@ -144,13 +149,16 @@
 	return data, nil
 }
 
-// parseEpoch returns the epoch in a header, or zero if it is missing or malformed.
-func parseEpoch(header string) fleet.StoreEpoch {
+// parseEpoch returns the epoch in a header, or zero if the platform does not send it.
+func parseEpoch(header string) (fleet.StoreEpoch, error) {
+	if header == "" {
+		return 0, nil
+	}
 	epoch, err := strconv.ParseUint(header, 10, 16)
 	if err != nil {
-		return 0
+		return 0, errors.Wrap(err, "parse header "+epochHeader)
 	}
-	return fleet.StoreEpoch(epoch)
+	return fleet.StoreEpoch(epoch), nil
 }
 
 // observeEpoch discards the versions that were read before the store was restored, since the
