--- a/command/views.go
+++ b/command/views.go
@@ -29,8 +29,8 @@
 // Usage returns the help text of the command.
 func (*Views) Usage() string {
 	return `views [-seed N] [-seeds N] [-steps N]:
-  Simulate a few entry hosts that follow a store with stale reads and dropped
-  history, and each other over feeds that break, in an order that the seed
+  Simulate a few entry hosts that follow a store with stale reads, dropped history
+  and restorations from older copies, and each other over feeds that break, in an order that the seed
   determines. After each step, every record that a host holds must be as it was in
   the store at the version that the host reports, or at a later one. The same seed
   gives the same result.
--- a/registry/restoration_test.go
+++ b/registry/restoration_test.go
@@ -61,14 +61,9 @@
 		is := is.New(t)
 		var server registrystandin.Server
 		first, second := newClient(&server), newClient(&server)
-		publish(t, first, "first", "publication-first")
-		time.Sleep(time.Second)
-		publish(t, first, "second", "publication-second")
-		base, err := first.Head(t.Context())
-		is.NoErr(err)
-		time.Sleep(time.Second)
+		base := publishBase(t, first)
 		replaceBase(t, &server, second, base)
-		_, err = first.Publish(t.Context(), base, newSet("third"), "publication-third")
+		_, err := first.Publish(t.Context(), base, newSet("third"), "publication-third")
 		is.True(errors.Is(err, registry.ErrConflict))
 		head, err := second.Head(t.Context())
 		is.NoErr(err)
@@ -76,6 +71,18 @@
 	})
 }
 
+// publishBase publishes two revisions, a second apart, and returns the head.
+func publishBase(t *testing.T, client *registry.Client) registry.Head {
+	t.Helper()
+	publish(t, client, "first", "publication-first")
+	time.Sleep(time.Second)
+	publish(t, client, "second", "publication-second")
+	base, err := client.Head(t.Context())
+	is.New(t).NoErr(err)
+	time.Sleep(time.Second)
+	return base
+}
+
 // replaceBase restores the store from a copy without the base and publishes another revision,
 // whose head has the same version.
 func replaceBase(t *testing.T, server *registrystandin.Server, client *registry.Client, base registry.Head) {
@@ -109,14 +116,9 @@
 		is := is.New(t)
 		var server registrystandin.Server
 		first, second := newClient(&server), newClient(&server)
-		publish(t, first, "first", "publication-first")
-		time.Sleep(time.Second)
-		publish(t, first, "second", "publication-second")
-		base, err := first.Head(t.Context())
-		is.NoErr(err)
-		time.Sleep(time.Second)
+		base := publishBase(t, first)
 		first.HTTP = &http.Client{Transport: &beforeStoring{next: first.HTTP.Transport, do: func() { replaceBase(t, &server, second, base) }}}
-		_, err = first.Publish(t.Context(), base, newSet("third"), "publication-third")
+		_, err := first.Publish(t.Context(), base, newSet("third"), "publication-third")
 		is.True(errors.Is(err, registry.ErrConflict))
 		head, err := second.Head(t.Context())
 		is.NoErr(err)
