--- a/platformstandin/records_test.go
+++ b/platformstandin/records_test.go
@@ -36,3 +36,22 @@
 		is.Equal(len(report.Violations), 0)
 	})
 }
+
+// TestLostRecordsOfHosts restores the store from a copy without the records of the hosts. Each
+// host must write its own again.
+func TestLostRecordsOfHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		site := platformstandin.Site{Zones: []string{"a", "b"}, HostsPerZone: 2, TargetsPerZone: 1, Seed: 1}
+		var before, after int
+		report := site.Run(10*time.Second, platformstandin.Fault{Inject: func(s *platformstandin.Site) {
+			before = len(s.Store.Names("rattanthread_hosts"))
+			s.RestoreStore(time.Second, 5500*time.Millisecond)
+			time.Sleep(5 * time.Second)
+			after = len(s.Store.Names("rattanthread_hosts"))
+		}})
+		is.Equal(before, 4)
+		is.Equal(after, 4)
+		is.Equal(len(report.Violations), 0)
+	})
+}
