--- a/review/cases/address/main.go
+++ b/review/cases/address/main.go
@@ -71,7 +71,7 @@
 		return 0, err
 	}
 	if trouble {
-		if err := restart(w, target); err != nil {
+		if err := restart(target); err != nil {
 			return 0, err
 		}
 	}
@@ -121,7 +121,7 @@
 }
 
 // restart crashes a target and starts it again under its id on another machine.
-func restart(w *stand.World, target *stand.Target) error {
+func restart(target *stand.Target) error {
 	target.Crash()
 	time.Sleep(downTime)
 	return target.Start(newMachine)
--- a/review/stand/target.go
+++ b/review/stand/target.go
@@ -66,7 +66,9 @@
 	t.born = time.Now()
 	t.mu.Unlock()
 	go t.receive(packets)
-	go func() { _ = (&http.Server{Handler: http.HandlerFunc(t.serveHealth), ReadHeaderTimeout: time.Second}).Serve(health) }()
+	go func() {
+		_ = (&http.Server{Handler: http.HandlerFunc(t.serveHealth), ReadHeaderTimeout: time.Second}).Serve(health)
+	}()
 	t.world.Logf("target %s: started at %s", t.ID, address)
 	t.register()
 	return nil
