review: A target that starts cold during an outage of the store is overloaded

Cause: hosts know only from the store that a target is cold. They forget that its address refused connections, which shows a new start.

--- a/review/stand/requester.go
+++ b/review/stand/requester.go
@@ -71,10 +71,16 @@
 func (r *Requester) OpenFlow() bool {
 	r.port++
 	r.seq, r.ack, r.echo, r.Open = uint32(time.Now().UnixNano()), 0, 0, false
+	host := "no host"
+	if selected := r.Host(); selected != nil {
+		host = selected.Name
+	}
+	r.world.Logf("requester %d: sends the opening packet of flow %s through %s", r.number, r.Flow(), host)
 	for attempt, wait := range []time.Duration{200 * time.Millisecond, 400 * time.Millisecond, 800 * time.Millisecond} {
 		r.send(packet{flags: flagSYN, seq: r.seq, ack: uint32(attempt)})
 		reply, ok := r.receive(wait)
 		if ok && reply.flags&flagRST != 0 {
+			r.world.Logf("requester %d: flow %s is refused by %s", r.number, r.Flow(), reply.from)
 			return false
 		}
 		if ok && reply.flags&flagSYN != 0 {
@@ -96,6 +102,7 @@
 	r.requests++
 	id := []byte(fmt.Sprintf("request-%d-%d", r.number, r.requests))
 	deadline := time.Now().Add(budget)
+	r.world.Logf("requester %d: sends %s on flow %s", r.number, id, r.Flow())
 	for wait := 200 * time.Millisecond; time.Now().Before(deadline); wait *= 2 {
 		r.send(packet{flags: flagACK, seq: r.seq, ack: r.ack, data: id})
 		retransmitAt := time.Now().Add(wait)
@@ -105,28 +112,16 @@
 			case !ok:
 			case reply.flags&flagRST != 0:
 				r.Open = false
+				r.world.Logf("requester %d: %s ends with a reset by %s", r.number, id, reply.from)
 				return false, &Reset{reply.from}
 			case string(reply.data) == string(id):
 				r.seq += uint32(len(id))
 				r.ack, r.echo = reply.seq+uint32(len(reply.data)), reply.echo
 				r.send(packet{flags: flagACK, seq: r.seq, ack: r.ack})
+				r.world.Logf("requester %d: %s is answered by %s", r.number, id, reply.from)
 				return true, nil
 			}
 		}
 	}
 	return false, nil
 }
-
-// Listen waits for a reset of the flow.
-func (r *Requester) Listen(timeout time.Duration) *Reset {
-	for deadline := time.Now().Add(timeout); time.Now().Before(deadline); {
-		if p, ok := r.receive(time.Until(deadline)); ok && p.flags&flagRST != 0 {
-			r.Open = false
-			return &Reset{p.from}
-		}
-	}
-	return nil
-}
-
-// Abandon gives the flow up without a word.
-func (r *Requester) Abandon() { r.Open = false }
--- a/review/stand/target.go
+++ b/review/stand/target.go
@@ -26,6 +26,8 @@
 	beats    int
 	draining bool
 	alive    bool
+	// coldUntil is when the target is warm again after a start during traffic.
+	coldUntil time.Time
 	// openings holds when each opening packet arrived.
 	openings []time.Time
 }
@@ -94,6 +96,15 @@
 	return time.Now()
 }
 
+// StartCold starts the target during traffic, on the machine with a number.
+func (t *Target) StartCold(machine int) error {
+	t.mu.Lock()
+	t.coldUntil = time.Now().Add(Warmup)
+	t.openings = nil
+	t.mu.Unlock()
+	return t.Start(machine)
+}
+
 // Openings returns when the opening packets that the target took arrived.
 func (t *Target) Openings() []time.Time {
 	t.mu.Lock()
@@ -131,7 +142,7 @@
 func (t *Target) register() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.alive {
+	if !t.alive || t.world.isDown() {
 		return
 	}
 	t.beats++
@@ -141,7 +152,7 @@
 	}
 	t.world.Store.Put("servers", t.ID, map[string]any{
 		"service": Service, "address": t.address.String(), "zone": zone, "version": "v1", "slots": 2, "state": state,
-		"cold_remaining_ms": 0, "seq": t.beats, "born": t.born.UnixMilli(),
+		"cold_remaining_ms": max(0, time.Until(t.coldUntil).Milliseconds()), "seq": t.beats, "born": t.born.UnixMilli(),
 	})
 }
 
@@ -210,3 +221,17 @@
 	to := netip.AddrPortFrom(p.source.Addr(), t.world.ports.packets)
 	_, _ = packets.WriteToUDPAddrPort(reply.encode(), to)
 }
+
+// OpeningsWhileCold returns when the opening packets arrived that the target took while it was
+// cold.
+func (t *Target) OpeningsWhileCold() []time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var cold []time.Time
+	for _, at := range t.openings {
+		if at.Before(t.coldUntil) {
+			cold = append(cold, at)
+		}
+	}
+	return cold
+}
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -20,7 +20,9 @@
 	HeartbeatInterval = 770 * time.Millisecond
 	StableWindow      = 4 * time.Second
 	DrainBound        = 3 * time.Second
-	ConfigBound       = 3 * time.Second
+	ColdOver          = 1.5
+	ColdSlack         = 5
+	Warmup            = 2 * time.Second
 	readinessInterval = 500 * time.Millisecond
 	zone              = "tw-north-a"
 )
@@ -35,6 +37,8 @@
 type World struct {
 	// Store is the platform's store.
 	Store platformstandin.Store
+	// ColdPerSecond is what a cold target bears.
+	ColdPerSecond float64
 
 	folder  string
 	record  *os.File
@@ -50,6 +54,8 @@
 	random  *rand.Rand
 	done    chan struct{}
 	version int
+	// down means that the store is down.
+	down bool
 }
 
 // ports are the same on all machines.
@@ -138,12 +144,31 @@
 	}
 	w.Store.Put("config", "main", map[string]any{
 		"version": w.version, "routes": specs,
-		"services": []map[string]any{{"name": Service, "health_path": "/health", "max_conns": 2000, "protocol": "h1", "tls": false, "warmup_s": 2.0, "cold_per_s": 0.0}},
+		"services": []map[string]any{{"name": Service, "health_path": "/health", "max_conns": 2000, "protocol": "h1", "tls": false, "warmup_s": Warmup.Seconds(), "cold_per_s": w.ColdPerSecond}},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	})
 	w.Logf("operator: version %d of the config is in the store, %d routes", w.version, len(routes))
 }
 
+// SetDown takes the store down for everyone, or brings it back.
+func (w *World) SetDown(down bool) {
+	faults := platformstandin.StoreFaults{}
+	if down {
+		faults.Outage = platformstandin.Unavailable
+	}
+	w.mu.Lock()
+	w.down = down
+	w.mu.Unlock()
+	w.Store.SetFaults(faults)
+	w.Logf("store: down: %t", down)
+}
+
+func (w *World) isDown() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.down
+}
+
 // hostOf returns the host to which the routers send a flow, by a steady hash.
 func (w *World) hostOf(flow string) *Host {
 	w.mu.Lock()
