review: Hosts that follow each other send new flows to removed targets

Cause: a host that has just started isn't in its own list and follows a host that ranks below it, which then follows the new one. Both lag behind by up to 2.8 s, which they take for an outage of the store, and keep removed targets in use for 2.5 s more.

--- a/review/stand/host.go
+++ b/review/stand/host.go
@@ -54,13 +54,16 @@
 link_megabits = 1000.0
 `
 
+// HostName returns the name of the host with a number.
+func HostName(number int) string { return fmt.Sprintf("front-%s-%d", zone, number) }
+
 // StartHost starts an entry host that reaches the store at an address, or directly if that is
 // empty.
 func (w *World) StartHost(number int, store string) (*Host, error) {
 	if store == "" {
 		store = w.store.Addr().String()
 	}
-	host := &Host{Name: fmt.Sprintf("front-%s-%d", zone, number), world: w, address: w.address(classHost, number), exited: make(chan struct{})}
+	host := &Host{Name: HostName(number), world: w, address: w.address(classHost, number), exited: make(chan struct{})}
 	text := fmt.Sprintf(settings, host.Name, zone, host.address, w.ports.packets, w.ports.readiness, w.ports.peers,
 		w.address(classHost, 1), w.address(classHost, 2), store)
 	path := w.path(host.Name + ".toml")
--- a/review/stand/target.go
+++ b/review/stand/target.go
@@ -26,6 +26,8 @@
 	beats    int
 	draining bool
 	alive    bool
+	// silent means that the target's check-ins don't reach the store.
+	silent bool
 	// coldUntil is when the target is warm again after a start during traffic.
 	coldUntil time.Time
 	// openings holds when each opening packet arrived.
@@ -142,7 +144,7 @@
 func (t *Target) register() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.alive || t.world.isDown() {
+	if !t.alive || t.silent || t.world.isDown() {
 		return
 	}
 	t.beats++
@@ -235,3 +237,16 @@
 	}
 	return cold
 }
+
+// CutFromStore ends the target's check-ins, while it goes on serving. The store removes its entry
+// after three check-in intervals of silence. CutFromStore returns when it has done so.
+func (t *Target) CutFromStore() time.Time {
+	t.mu.Lock()
+	t.silent = true
+	t.mu.Unlock()
+	t.world.Logf("target %s: its check-ins no longer reach the store", t.ID)
+	time.Sleep(3 * HeartbeatInterval)
+	t.world.Store.Delete("servers", t.ID)
+	t.world.Logf("store: removed the entry of target %s", t.ID)
+	return time.Now()
+}
