--- a/review/cases/address/main.go
+++ b/review/cases/address/main.go
@@ -27,12 +27,13 @@
 func main() {
 	record := flag.String("record", "record.txt", "the file for what was sent, answered and run")
 	trouble := flag.Bool("trouble", true, "crash the target and start it again")
+	machine := flag.Int("machine", newMachine, "the machine on which the target starts again; zero means the same")
 	flag.Parse()
 	w, err := stand.New(*record)
 	if err != nil {
 		os.Exit(2)
 	}
-	broken, err := run(w, *trouble)
+	broken, err := run(w, *trouble, *machine)
 	if err != nil {
 		w.Logf("the case couldn't run: %v", err)
 	}
@@ -45,7 +46,7 @@
 	}
 }
 
-func run(w *stand.World, trouble bool) (int, error) {
+func run(w *stand.World, trouble bool, machine int) (int, error) {
 	var all []*stand.Target
 	for i := range targets {
 		t, err := w.StartTarget(i + 1)
@@ -71,7 +72,7 @@
 		return 0, err
 	}
 	if trouble {
-		if err := restart(target); err != nil {
+		if err := restart(target, machine); err != nil {
 			return 0, err
 		}
 	}
@@ -120,11 +121,14 @@
 	}
 }
 
-// restart crashes a target and starts it again under its id on another machine.
-func restart(target *stand.Target) error {
+// restart crashes a target and starts it again under its id, on a machine or the same.
+func restart(target *stand.Target, machine int) error {
+	if machine == 0 {
+		machine = int(target.Address().Addr().As4()[3])
+	}
 	target.Crash()
 	time.Sleep(downTime)
-	return target.Start(newMachine)
+	return target.Start(machine)
 }
 
 // openFlows opens flows at the target through a host, with a request on each.
