review: Keep runs of scripts off each other's addresses

Cause: two runs at once chose the same addresses, and one couldn't run.

Change: a run holds a lock on its addresses.

--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -47,6 +47,8 @@
 	network [2]byte
 	ports   ports
 	store   net.Listener
+	// lock keeps other runs off the network.
+	lock net.Listener
 
 	mu      sync.Mutex
 	hosts   []*Host
@@ -79,7 +81,9 @@
 		folder: folder, record: file, started: time.Now(), store: listener, done: make(chan struct{}),
 		random: rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 1)),
 	}
-	w.network = [2]byte{127, byte(10 + w.random.IntN(240))}
+	if err := w.chooseNetwork(); err != nil {
+		return nil, err
+	}
 	if err := freePorts(&w.ports.packets, &w.ports.readiness, &w.ports.peers, &w.ports.targets); err != nil {
 		return nil, err
 	}
@@ -89,6 +93,19 @@
 	return w, nil
 }
 
+// chooseNetwork chooses addresses that no other run uses.
+func (w *World) chooseNetwork() error {
+	var err error
+	for range 20 {
+		w.network = [2]byte{127, byte(10 + w.random.IntN(240))}
+		lock := netip.AddrPortFrom(w.address(classLock, 1), lockPort)
+		if w.lock, err = net.Listen("tcp4", lock.String()); err == nil {
+			return nil
+		}
+	}
+	return err
+}
+
 // freePorts sets ports that are free on loopback, all different.
 func freePorts(ports ...*uint16) error {
 	for _, port := range ports {
@@ -108,7 +125,7 @@
 	for _, host := range w.hosts {
 		host.Kill()
 	}
-	_ = w.store.Close()
+	_, _ = w.store.Close(), w.lock.Close()
 	_ = w.record.Close()
 	_ = os.RemoveAll(w.folder)
 }
@@ -131,8 +148,12 @@
 	classHost      = 1
 	classTarget    = 2
 	classRequester = 3
+	classLock      = 4
 )
 
+// lockPort is the port of the lock of a network.
+const lockPort = 9102
+
 // Configure writes a configuration with the given routes, all to Service.
 func (w *World) Configure(routes ...netip.AddrPort) {
 	w.version += 2
