upstream: Follow only hosts that rank higher, and leave others

Cause: a host that is not in its own list of hosts yet took all others for higher-ranked, followed the host that reads the store, and stayed with it. That host then followed the added one, which ranks first. Each confirmed to the other what it had from it, until both were late and read the store, and began again. Seeds and announced hosts were followed in the same way.

The fault hosts_added violates DRAIN before the change, TestHostsWithDifferentListsFormNoCycle and TestUpstreamIsLeft fail with the host left out of its list.

Change: a host inserts itself into the list, so that it only follows hosts that rank before it, whatever the lists of others. It checks its upstream with each message: it leaves one that does not rank before it at once, and switches to a better one when the tree has been the same for 2 s. A feed from a host that ranks after this one does not replace reading the store. The stand-in cuts targets off from the store and checks DRAIN for removed records; such targets are disrupted, so that FLOW does not count for them.

That the lag counted as an outage of the store is a fault of its own.

--- a/entry/feed.go
+++ b/entry/feed.go
@@ -211,10 +211,16 @@
 		}
 		if address, ok := f.nextUpstream(started); ok {
 			err := f.follow(ctx, address)
-			host.upstreamFreshUntil.Store(0)
 			if ctx.Err() != nil {
 				return nil
 			}
+			if errors.Is(err, errOtherUpstream) {
+				host.log.Line("upstream_left", "peer", address)
+				host.metrics.upstreams.WithLabelValues("left").Inc()
+				timer.Reset(0)
+				continue
+			}
+			host.upstreamFreshUntil.Store(0)
 			f.chooser.Failed(host.network.Now(), address)
 			host.log.Line("upstream_lost", "peer", address, "error", err)
 			host.metrics.upstreams.WithLabelValues("lost").Inc()
@@ -280,9 +286,12 @@
 	freshness := upstream.Freshness{SilenceTimeout: feedTimeout}
 	withoutCatalogue, start := !host.snapshot.Load().catalogue.Ready(), host.network.Now()
 	for {
-		if err := f.receiveMessage(ctx, stream, &freshness); err != nil {
+		if err := f.receiveMessage(ctx, stream, address, &freshness); err != nil {
 			return err
 		}
+		if f.shouldLeave(address) {
+			return errOtherUpstream
+		}
 		if !withoutCatalogue && !freshness.Fresh(host.network.Now()) && host.storeUnavailable.Load() {
 			return errors.New("late")
 		}
@@ -292,6 +301,21 @@
 	}
 }
 
+// errOtherUpstream ends the feed of a host that should follow another one, or none.
+var errOtherUpstream = errors.New("another upstream is due")
+
+// shouldLeave reports whether the tree of feeds has another upstream for this host, or none. A host
+// that got its catalogue from a seed stays with it until the store responds.
+func (f *feedClient) shouldLeave(address netip.AddrPort) bool {
+	host := f.host
+	current := host.snapshot.Load().catalogue
+	if !current.Ready() || !current.Complete() || host.storeUnavailable.Load() && !f.chooser.IsHigherRanked(address, current.Hosts()) {
+		return false
+	}
+	f.chooser.Fanout = host.fanout()
+	return f.chooser.ShouldSwitch(host.network.Now(), address, current.Hosts())
+}
+
 // shouldSwitch reports whether a host without a catalogue, which has followed an upstream
 // since start, should try another one.
 func (f *feedClient) shouldSwitch(address netip.AddrPort, start time.Time) bool {
@@ -300,8 +324,9 @@
 	return now.Sub(start) > startupTimeout || len(announced) > 0 && !slices.Contains(announced, address)
 }
 
-// receiveMessage receives one message and passes its updates to the control goroutine.
-func (f *feedClient) receiveMessage(ctx context.Context, stream *Stream, freshness *upstream.Freshness) error {
+// receiveMessage receives one message and passes its updates to the control goroutine. The feed
+// replaces reading the store only if its source ranks higher.
+func (f *feedClient) receiveMessage(ctx context.Context, stream *Stream, address netip.AddrPort, freshness *upstream.Freshness) error {
 	host := f.host
 	receiveCtx, cancel := context.WithTimeout(ctx, feedTimeout)
 	defer cancel()
@@ -321,7 +346,7 @@
 		return ctx.Err()
 	}
 	freshness.Updated(now, host.slack(&message))
-	if freshness.Fresh(now) {
+	if freshness.Fresh(now) && f.chooser.IsHigherRanked(address, host.snapshot.Load().catalogue.Hosts()) {
 		host.upstreamFreshUntil.Store(now.Add(feedTimeout).UnixNano())
 	}
 	return nil
--- a/explain/timeline.go
+++ b/explain/timeline.go
@@ -14,7 +14,7 @@
 // hostWideKinds are the kinds of lines that concern all flows of a host.
 var hostWideKinds = []string{
 	"start", "ready", "stopping", "reloaded", "store_lost", "store_regained", "history_gone",
-	"configuration_in_force", "data_centre_out", "data_centre_in", "upstream_chosen", "upstream_lost", "lines_omitted",
+	"configuration_in_force", "data_centre_out", "data_centre_in", "upstream_chosen", "upstream_lost", "upstream_left", "lines_omitted",
 }
 
 // Timeline returns the lines that concern a flow, ordered by time: its own, those about
--- a/platformstandin/fault.go
+++ b/platformstandin/fault.go
@@ -49,6 +49,7 @@
 			s.startWithoutStore(s.hosts[:len(s.hosts)-1], 2*time.Second)
 		}},
 		{"hosts_start_stale", "all hosts are restarted just after a zone is taken out of service, and serializable reads lag by 1 s", (*Site).startFromStaleLists},
+		{"hosts_added", "one host of each zone is added later, then targets lose their records one after the other", (*Site).addHosts},
 		{"most_start_blind", "all but one host of each zone are restarted while the store responds with status 503", (*Site).startMostWithoutStore},
 	}
 }
@@ -422,5 +423,28 @@
 	s.Store.SetFaults(StoreFaults{})
 }
 
+// addHosts removes the last host of each zone, with its record, and adds it again when the others
+// have been without it for some time. Then targets, one every two seconds, are cut off from the
+// store, while they serve on.
+func (s *Site) addHosts() {
+	var added []*Node
+	for i, node := range s.hosts {
+		if i%s.HostsPerZone == s.HostsPerZone-1 {
+			added = append(added, node)
+		}
+	}
+	s.killNodes(added)
+	for _, node := range added {
+		s.Store.Delete("rattanthread_hosts", node.Name)
+	}
+	time.Sleep(2 * time.Second)
+	s.restartExited()
+	time.Sleep(2 * time.Second)
+	for i := range s.TargetsPerZone - 1 {
+		s.withLock(func() { s.targets[i].cutFromStore = true })
+		time.Sleep(2100 * time.Millisecond)
+	}
+}
+
 // String returns the name and the description of the fault.
 func (f Fault) String() string { return fmt.Sprintf("%-20s %s", f.Name, f.Description) }
--- a/platformstandin/report.go
+++ b/platformstandin/report.go
@@ -149,6 +149,9 @@
 	if t.state == Draining && time.Since(t.since) > s.propagationBound && s.boundsApply() {
 		s.addViolation("DRAIN: " + t.ID + " received a new flow")
 	}
+	if !t.recordRemovedAt.IsZero() && time.Since(t.recordRemovedAt) > s.propagationBound && s.boundsApply() {
+		s.addViolation("DRAIN: " + t.ID + " received a new flow after its record was removed")
+	}
 	if t.flows[packet.flow] == nil {
 		s.checkColdRate(t)
 	}
--- a/platformstandin/site.go
+++ b/platformstandin/site.go
@@ -253,16 +253,17 @@
 
 func (s *Site) registerTarget(t *Target, missed map[string]int) {
 	s.mu.Lock()
-	state := t.state
+	state, cut := t.state, t.cutFromStore
 	t.heartbeats++
 	s.mu.Unlock()
 	stateNames := map[TargetState]string{Running: "ready", Draining: "draining"}
 	stateName, alive := stateNames[state]
 	switch {
-	case !alive:
+	case !alive || cut:
 		missed[t.ID]++
 		if missed[t.ID] == missedHeartbeatLimit {
 			s.Store.Delete("servers", t.ID)
+			s.withLock(func() { t.recordRemovedAt = time.Now() })
 		}
 	case missed[t.ID] == 0 && s.Store.spec("servers", t.ID)["state"] == stateName:
 	default:
@@ -409,11 +410,11 @@
 	s.afterFunc(clientDelay, func() { deliver(client.inbox, answer{flags: flagRST, fromHost: true}) })
 }
 
-// undisturbed reports whether a target is running or draining, and neither its state
-// changed nor a network partition existed for some time.
+// undisturbed reports whether a target is running or draining and reaches the store, and neither
+// its state changed nor a network partition existed for some time.
 func (s *Site) undisturbed(t *Target) bool {
 	const window = 4 * time.Second
-	return t.state < Refusing && time.Since(t.since) > window && time.Since(s.partitionEndedAt) > window && len(s.partitioned) == 0
+	return t.state < Refusing && !t.cutFromStore && time.Since(t.since) > window && time.Since(s.partitionEndedAt) > window && len(s.partitioned) == 0
 }
 
 // sendAnswer sends a packet from a target to a client.
--- a/platformstandin/target.go
+++ b/platformstandin/target.go
@@ -37,7 +37,11 @@
 	tag uint64
 	// heartbeats is the number of heartbeats sent.
 	heartbeats int
-	state      TargetState
+	// cutFromStore means that heartbeats don't reach the store, while the target serves on.
+	// recordRemovedAt is when the store removed its record; zero while there is one.
+	cutFromStore    bool
+	recordRemovedAt time.Time
+	state           TargetState
 	// since is when the state began.
 	since     time.Time
 	flows     map[flowID]*targetFlow
--- a/upstream/chooser.go
+++ b/upstream/chooser.go
@@ -11,8 +11,13 @@
 	"github.com/rattanthread/rattanthread/fleet"
 )
 
-// failureBackoff is how long a peer is skipped after a failure.
-const failureBackoff = 5 * time.Second
+const (
+	// failureBackoff is how long a peer is skipped after a failure.
+	failureBackoff = 5 * time.Second
+	// settleTime is how long the tree of feeds must have had another upstream for a host before
+	// it switches. Many hosts may start within this time.
+	settleTime = 2 * time.Second
+)
 
 // Chooser chooses the upstream of a host. Self must be set. A Chooser is not safe for
 // concurrent use.
@@ -24,6 +29,9 @@
 	Fanout int
 
 	failedAt map[netip.AddrPort]time.Time
+	// better is the peer that Choose prefers to the upstream, since betterSince.
+	better      fleet.Host
+	betterSince time.Time
 }
 
 // Choose returns the peer to follow. It returns false if the host itself should read
@@ -38,15 +46,37 @@
 	return fleet.Host{}, false
 }
 
-// higherRanked returns the peers of the local data centre that rank before this host.
+// higherRanked returns the peers of the local data centre that rank before this host. The peers
+// need not include this host: until its record is known, it has the rank that it will have.
 func (c *Chooser) higherRanked(peers []fleet.Host) []fleet.Host {
-	all := sortByRank(c.localPeers(peers))
-	for i, peer := range all {
-		if peer.ID == c.Self.ID {
-			return all[:i]
-		}
+	all := sortByRank(append(c.localPeers(peers), c.Self))
+	return all[:slices.IndexFunc(all, c.isSelf)]
+}
+
+func (c *Chooser) isSelf(peer fleet.Host) bool { return peer.ID == c.Self.ID }
+
+// IsHigherRanked reports whether the peer at an address is one that this host may follow for as
+// long as it responds. Since each host follows such a peer only, no host follows itself by way of
+// others. The seeds of a host without a catalogue need not be such peers.
+func (c *Chooser) IsHigherRanked(address netip.AddrPort, peers []fleet.Host) bool {
+	return slices.ContainsFunc(c.higherRanked(peers), func(peer fleet.Host) bool { return peer.PeerAddress == address })
+}
+
+// ShouldSwitch reports whether the host should leave the upstream at an address: at once if it
+// must not follow that peer, and after settleTime if the tree of feeds has changed.
+func (c *Chooser) ShouldSwitch(now time.Time, upstream netip.AddrPort, peers []fleet.Host) bool {
+	if !c.IsHigherRanked(upstream, peers) {
+		return true
+	}
+	best, ok := c.Choose(now, peers)
+	if !ok || best.PeerAddress == upstream {
+		c.better = fleet.Host{}
+		return false
+	}
+	if best != c.better {
+		c.better, c.betterSince = best, now
 	}
-	return all
+	return now.Sub(c.betterSince) >= settleTime
 }
 
 // RanksFirst reports whether no peer of the local data centre ranks before this host.
@@ -89,11 +119,11 @@
 	return !failed || now.Sub(at) >= failureBackoff
 }
 
-// localPeers returns the peers in the host's data centre.
+// localPeers returns the other hosts in the host's data centre.
 func (c *Chooser) localPeers(peers []fleet.Host) []fleet.Host {
 	var local []fleet.Host
 	for _, peer := range peers {
-		if peer.DataCentre == c.Self.DataCentre {
+		if peer.DataCentre == c.Self.DataCentre && !c.isSelf(peer) {
 			local = append(local, peer)
 		}
 	}
--- a/upstream/chooser_test.go
+++ b/upstream/chooser_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"testing"
@@ -190,3 +191,94 @@
 	}
 	is.Equal(readers, 1)
 }
+
+// TestHostsWithDifferentListsFormNoCycle guards against hosts that follow each other, and take
+// what both have for recent: a host that was just added has a list without itself, and others
+// have lists without it.
+func TestHostsWithDifferentListsFormNoCycle(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	for range 2000 {
+		is := is.New(t)
+		all := peers("a", 8)
+		for i := range all {
+			all[i].Strength = random.IntN(2)
+		}
+		upstreams := make(map[fleet.HostID]fleet.HostID)
+		for _, self := range all {
+			known := slices.DeleteFunc(slices.Clone(all), func(fleet.Host) bool { return random.IntN(3) == 0 })
+			chooser := upstream.Chooser{Self: self, Fanout: random.IntN(3)}
+			if peer, ok := chooser.Choose(start, known); ok {
+				upstreams[self.ID] = peer.ID
+			}
+		}
+		for id := range upstreams {
+			hops := 0
+			for ok := true; ok && hops <= len(all); hops++ {
+				id, ok = upstreams[id]
+			}
+			is.True(hops <= len(all)) // ends at a host that reads the store
+		}
+	}
+}
+
+// TestUpstreamIsLeft lets a host follow the peer with each rank of five, itself third.
+func TestUpstreamIsLeft(t *testing.T) {
+	all := peers("a", 5)
+	ranked := make([]fleet.Host, len(all))
+	for _, self := range all {
+		chooser := upstream.Chooser{Self: self}
+		before := 0
+		for _, other := range all {
+			if chooser.IsHigherRanked(other.PeerAddress, all) {
+				before++
+			}
+		}
+		ranked[before] = self
+	}
+	self, removed := ranked[2], netip.MustParseAddrPort("10.9.9.9:1")
+	tests := []struct {
+		name     string
+		upstream netip.AddrPort
+		known    []fleet.Host
+		// atOnce and later report whether the host leaves at once and after 2 s.
+		atOnce, later bool
+	}{
+		{"the host that ranks first", ranked[0].PeerAddress, all, false, false},
+		{"a host that ranks before, where another one ranks first", ranked[1].PeerAddress, all, false, true},
+		{"a host that ranks before and is the only one known", ranked[1].PeerAddress, ranked[1:], false, false},
+		{"a host that ranks after", ranked[3].PeerAddress, all, true, true},
+		{"a host that ranks after, and this one is not in the list", ranked[4].PeerAddress, ranked[3:], true, true},
+		{"a host that is not in the list", removed, all, true, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			chooser := upstream.Chooser{Self: self}
+			is.Equal(chooser.ShouldSwitch(start, test.upstream, test.known), test.atOnce)
+			is.Equal(chooser.ShouldSwitch(start.Add(2*time.Second), test.upstream, test.known), test.later)
+		})
+	}
+}
+
+// TestChangingTreeIsFollowedLate lets the preferred upstream change each second, as while many
+// hosts start: the host stays with the one that it has.
+func TestChangingTreeIsFollowedLate(t *testing.T) {
+	is := is.New(t)
+	all := peers("a", 12)
+	last := all[0]
+	for _, self := range all {
+		if chooser := (upstream.Chooser{Self: self}); chooser.IsHigherRanked(last.PeerAddress, all) {
+			last = self
+		}
+	}
+	chooser := upstream.Chooser{Self: last}
+	followed, ok := chooser.Choose(start, all)
+	is.True(ok)
+	for second := range 8 {
+		known := append(slices.Clone(all), fleet.Host{
+			ID: fleet.HostID(fmt.Sprint("added-", second)), DataCentre: "a", Strength: 1 + second,
+			PeerAddress: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 1, byte(second)}), 8166),
+		})
+		is.True(!chooser.ShouldSwitch(start.Add(time.Duration(second)*time.Second), followed.PeerAddress, known))
+	}
+}
