catalogue: Take failed calls for an outage of the store, not lag

Cause: when the servers had not been confirmed for 2 s, the next update counted as the recovery of the store, and servers without records stayed in use for 2.5 s. Hosts that follow others lag for other reasons: a cycle of feeds, or an upstream that is cut off from the store.

Change: a reader reports an outage when calls have failed for more than 2 s and no peer has read the store since. Updates carry the remaining grace, so that hosts behind it keep the servers as long. A host that was only out of date keeps the flows of such servers for 2.5 s, and opens no new ones there: it has no evidence that they have ended. Traces tell an update without a time of confirmation from one that was confirmed long ago (TestUnconfirmedUpdate).

TestLapsedServersAreKeptUntilTheStoreHasSettled stated the outage by a gap between two updates. It states it by the grace of the update now; TestLagIsNoOutage checks the gap.

--- a/catalogue/follower.go
+++ b/catalogue/follower.go
@@ -56,6 +56,8 @@
 	// historyExpired means that the store no longer has the changes after version.
 	historyExpired bool
 	failures       int
+	// failingSince is when the first of the latest failed calls was sent.
+	failingSince time.Time
 	// confirmedAt is the latest time at which version was known to be current.
 	confirmedAt time.Time
 	// unconfirmed counts the successful calls since, if they returned data that may be older
@@ -78,6 +80,9 @@
 	if confirmedAt.After(f.confirmedAt) {
 		f.confirmedAt, f.unconfirmed, f.provisional = confirmedAt, 0, false
 	}
+	if confirmedAt.After(f.failingSince) { // others have reached the store since
+		f.failingSince = time.Time{}
+	}
 }
 
 // Next returns the next call. After a failed call it requests an immediate response,
@@ -141,7 +146,7 @@
 	if !f.historyExpired {
 		f.expiries = 0
 	}
-	f.failures, f.historyExpired = 0, false
+	f.failures, f.failingSince, f.historyExpired = 0, time.Time{}, false
 	f.provisional = f.Source != Hosts && (recovered || f.confirmedAt.IsZero())
 	unconfirmed := f.unconfirmed
 	f.Advance(version, confirmedAt)
@@ -165,10 +170,22 @@
 	return burstPause
 }
 
-// Failed records a failed call. It returns the pause before the next one and whether
-// this is the first failure in a row.
-func (f *Follower) Failed() (time.Duration, bool) {
+// Outage returns how long the store has been unavailable: since the first of the latest failed
+// calls, unless a peer has read the store since. It is zero after a successful call.
+func (f *Follower) Outage(now time.Time) time.Duration {
+	if f.failingSince.IsZero() {
+		return 0
+	}
+	return now.Sub(f.failingSince)
+}
+
+// Failed records a failed call, and when it was sent. It returns the pause before the next one and
+// whether this is the first failure in a row.
+func (f *Follower) Failed(sent time.Time) (time.Duration, bool) {
 	f.failures++
+	if f.failingSince.IsZero() {
+		f.failingSince = sent
+	}
 	return min(firstRetryPause*time.Duration(f.failures), maxRetryPause), f.failures == 1
 }
 
--- a/catalogue/follower_test.go
+++ b/catalogue/follower_test.go
@@ -19,7 +19,7 @@
 		follower.Succeeded(start, 7, start)
 		unresponsive := follower.Next(start)
 		is.Equal(unresponsive.After, catalogue.Version(7))
-		pause, lost := follower.Failed()
+		pause, lost := follower.Failed(start)
 		is.True(lost)
 		retry := follower.Next(start)
 		is.Equal(retry.Wait, 0*time.Second) // requests an immediate response
@@ -69,7 +69,7 @@
 	waited := time.Duration(0)
 	for follower.Next(start).Timeout < 2*time.Second {
 		waited += follower.Next(start).Timeout
-		pause, _ := follower.Failed()
+		pause, _ := follower.Failed(start)
 		waited += pause
 	}
 	is.True(waited < 8*time.Second)
@@ -113,9 +113,9 @@
 		is.True(follower.Next(now).Linearizable)
 		follower.Succeeded(now, 7, now)
 
-		follower.Failed()
+		follower.Failed(start)
 		is.True(follower.Next(now).Linearizable)
-		follower.Failed()
+		follower.Failed(start)
 		is.True(!follower.Next(now).Linearizable)
 		is.True(!follower.TakeProvisional())
 		is.True(follower.Succeeded(now.Add(time.Second), 7, never))
@@ -145,3 +145,23 @@
 		follower.Succeeded(now, version+2, confirmed)
 	}
 }
+
+// TestOutage measures how long a store is unavailable, from the calls that fail.
+func TestOutage(t *testing.T) {
+	is := is.New(t)
+	follower := catalogue.Follower{Source: catalogue.Servers, Bound: 3 * time.Second}
+	follower.Succeeded(start, 7, start)
+	at := func(seconds int) time.Time { return start.Add(time.Duration(seconds) * time.Second) }
+	is.Equal(follower.Outage(at(9)), time.Duration(0)) // no call was made
+	follower.Failed(at(10))
+	follower.Failed(at(11))
+	is.Equal(follower.Outage(at(13)), 3*time.Second)
+	follower.Succeeded(at(13), 8, at(13))
+	is.Equal(follower.Outage(at(14)), time.Duration(0))
+
+	follower.Failed(at(20))
+	follower.Advance(9, at(21)) // a peer has read the store since
+	is.Equal(follower.Outage(at(24)), time.Duration(0))
+	follower.Failed(at(25))
+	is.Equal(follower.Outage(at(26)), time.Second)
+}
--- a/catalogue/restoration.go
+++ b/catalogue/restoration.go
@@ -35,7 +35,7 @@
 	grace := orDefault(t.RestorationGrace, DefaultRestorationGrace)
 	switch source {
 	case Servers:
-		t.graceUntil = now.Add(orDefault(t.RecoveryGrace, DefaultRecoveryGrace))
+		t.graceUntil = now.Add(RecoveryGrace)
 	case Hosts:
 		grace = hostRetention
 	case Configurations, Evacuations:
--- a/catalogue/restoration_test.go
+++ b/catalogue/restoration_test.go
@@ -116,7 +116,7 @@
 		if returns {
 			tracker.Apply(now.Add(time.Second), servers(at(2, 4), false, record(server("i-01", at(2, 4)))))
 		}
-		tracker.Tick(now.Add(catalogue.DefaultRecoveryGrace))
+		tracker.Tick(now.Add(catalogue.RecoveryGrace))
 		is.Equal(len(tracker.Current().Pool("bench").All) == 1, returns)
 	}
 }
--- a/catalogue/since.go
+++ b/catalogue/since.go
@@ -35,7 +35,7 @@
 	if source != Servers || version == 0 || version < t.removals.base || version.Epoch() != t.versions[Servers].Epoch() {
 		return t.Snapshot(now, source)
 	}
-	update := Update{Source: source, Version: t.versions[source], AsOf: t.confirmed[source]}
+	update := Update{Source: source, Version: t.versions[source], AsOf: t.confirmed[source], Grace: t.Grace(now)}
 	update.Records = t.serverRecords(now, version)
 	for name, at := range t.removals.versions {
 		if at > version {
--- a/catalogue/trackedserver.go
+++ b/catalogue/trackedserver.go
@@ -118,24 +118,32 @@
 	return true
 }
 
-// startGraceAfterOutage starts the grace period of lapsed servers when the store has
-// recovered from an outage.
-func (t *Tracker) startGraceAfterOutage(now time.Time, update Update) {
-	last := t.confirmed[Servers]
-	if update.Source != Servers || last.IsZero() {
+// startGrace starts the grace period of lapsed servers if the store has recovered from an outage.
+// A host whose own state was out of date for as long has no evidence of an outage: then lapsed
+// servers get no new flows, but keep those that they have.
+func (t *Tracker) startGrace(now time.Time, update Update) {
+	if update.Source != Servers {
 		return
 	}
-	if now.Sub(last) > orDefault(t.OutageThreshold, DefaultOutageThreshold) {
-		t.graceUntil = now.Add(orDefault(t.RecoveryGrace, DefaultRecoveryGrace))
+	if until := now.Add(update.Grace); until.After(t.graceUntil) {
+		t.graceUntil = until
+	}
+	if last := t.confirmed[Servers]; !last.IsZero() && now.Sub(last) > OutageThreshold {
+		t.keepUntil = now.Add(RecoveryGrace)
 	}
 }
 
+// Grace returns how much longer servers without records stay in use after an outage of the store.
+func (t *Tracker) Grace(now time.Time) time.Duration { return max(0, t.graceUntil.Sub(now)) }
+
 // expireLapsed removes the servers whose records have lapsed, after the grace period if the
 // store has just recovered.
 func (t *Tracker) expireLapsed(now time.Time) bool {
-	changed := false
-	if !t.hasLapsed || now.Before(t.graceUntil) {
-		return false
+	inUse := now.Before(t.graceUntil)
+	changed := t.hasLapsed && inUse != t.lapsedInUse
+	t.lapsedInUse = inUse
+	if !t.hasLapsed || inUse || now.Before(t.keepUntil) {
+		return changed
 	}
 	t.hasLapsed = false
 	for name, tracked := range t.servers {
--- a/catalogue/tracker.go
+++ b/catalogue/tracker.go
@@ -31,9 +31,13 @@
 
 // Timing of a Tracker.
 const (
-	DefaultRecoveryGrace   = 2500 * time.Millisecond
-	DefaultOutageThreshold = 2 * time.Second
-	removedRetention       = 90 * time.Second
+	// RecoveryGrace is how long servers whose records have lapsed during an outage of the store
+	// are kept after its recovery.
+	RecoveryGrace = 2500 * time.Millisecond
+	// OutageThreshold is the length of an outage of the store after which records may have
+	// lapsed.
+	OutageThreshold  = 2 * time.Second
+	removedRetention = 90 * time.Second
 )
 
 // Record is a record of a source, or its removal.
@@ -62,6 +66,9 @@
 	Records []Record `cbor:"records,omitempty"`
 	// Version is the store's version that the records reflect.
 	Version Version `cbor:"version"`
+	// Grace is how much longer servers without records stay in use: the store has recovered
+	// from an outage, in which live servers could not renew them.
+	Grace time.Duration `cbor:"grace,omitempty"`
 	// AsOf is the time at which the records were current.
 	AsOf time.Time `cbor:"-"`
 }
@@ -120,27 +127,24 @@
 // Tracker builds catalogues from the updates of the store's records. The zero value is
 // ready to use.
 type Tracker struct {
-	// RecoveryGrace is how long servers whose records have lapsed during an outage of
-	// the store are kept after its recovery. Zero means DefaultRecoveryGrace.
-	RecoveryGrace time.Duration
-	// OutageThreshold is how long the servers must have gone unconfirmed for the next
-	// update of them to count as the store's recovery. Zero means
-	// DefaultOutageThreshold.
-	OutageThreshold time.Duration
 	// RestorationGrace is how long a state that a restored store contradicts is kept, so
 	// that its writer can write it again. Zero means DefaultRestorationGrace.
 	RestorationGrace time.Duration
 
 	// stale means that current is out of date.
-	stale      bool
-	current    *Catalogue
-	changes    []Change
-	number     uint64
-	versions   [sourceCount]Version
-	confirmed  [sourceCount]time.Time
-	listed     [sourceCount]bool
-	graceUntil time.Time
-	retained   retainedState
+	stale     bool
+	current   *Catalogue
+	changes   []Change
+	number    uint64
+	versions  [sourceCount]Version
+	confirmed [sourceCount]time.Time
+	listed    [sourceCount]bool
+	// graceUntil is how long servers whose records have lapsed stay in use, and keepUntil how
+	// long their flows are kept.
+	graceUntil, keepUntil time.Time
+	// lapsedInUse means that graceUntil has not passed.
+	lapsedInUse bool
+	retained    retainedState
 	// hasLapsed means that the record of some server has lapsed.
 	hasLapsed bool
 
@@ -182,7 +186,7 @@
 	if update.Version < known || update.Version > known && recordsUnknown && !update.Full {
 		return false
 	}
-	t.startGraceAfterOutage(now, update)
+	t.startGrace(now, update)
 	if restored {
 		t.startRestorationGrace(now, update.Source)
 	}
@@ -256,7 +260,7 @@
 			update.Records = append(update.Records, Record{Name: string(id), Changed: update.Version})
 		}
 	case Servers:
-		update.Records = t.serverRecords(now, 0)
+		update.Records, update.Grace = t.serverRecords(now, 0), t.Grace(now)
 	case Hosts:
 		for _, record := range t.hosts {
 			if record.Changed.Epoch() == update.Version.Epoch() {
@@ -296,6 +300,7 @@
 	servers := make([]*Server, 0, len(t.servers))
 	for _, tracked := range t.servers {
 		server := *tracked.server
+		server.Draining = server.Draining || !tracked.lapsedAt.IsZero() && !t.lapsedInUse
 		servers = append(servers, &server)
 	}
 	next.hostVersions = make(map[fleet.HostID]Version, len(t.hosts))
--- a/catalogue/tracker_test.go
+++ b/catalogue/tracker_test.go
@@ -138,18 +138,53 @@
 			if test.listed {
 				lapsed = servers(5, true)
 			}
+			lapsed.Grace = catalogue.RecoveryGrace
 			tracker.Apply(recovered, lapsed)
 			is.Equal(len(tracker.Current().Pool("bench").All), 1) // the store has just recovered
 			if test.returns {
 				tracker.Apply(recovered.Add(2*time.Second), servers(6, false, record(server("i-01", 6))))
 			}
-			tracker.Tick(recovered.Add(catalogue.DefaultRecoveryGrace))
+			tracker.Tick(recovered.Add(catalogue.RecoveryGrace))
 			is.Equal(len(tracker.Current().Pool("bench").All) == 1, test.returns)
 			is.Equal(tracker.Current().IsRemoved(catalogue.CookieOf("i-01")), !test.returns)
 		})
 	}
 }
 
+// TestLagIsNoOutage guards against new flows on servers that are gone: a host that was out of date
+// for seconds, as behind a host that lags, has no evidence that the store was unavailable. The
+// servers keep their flows for a time, since it has no evidence of the contrary either.
+func TestLagIsNoOutage(t *testing.T) {
+	is := is.New(t)
+	var tracker catalogue.Tracker
+	tracker.Apply(start, servers(1, true, record(server("i-01", 1)), record(server("i-02", 1))))
+	updated := start.Add(catalogue.OutageThreshold + time.Second)
+	tracker.Apply(updated, servers(5, false, removed("i-01", 5)))
+	is.Equal(len(tracker.Current().Pool("bench").All), 1)
+	is.True(tracker.Current().Server(catalogue.CookieOf("i-01")) != nil)
+	tracker.Tick(updated.Add(catalogue.RecoveryGrace))
+	is.True(tracker.Current().IsRemoved(catalogue.CookieOf("i-01")))
+}
+
+// TestGraceReachesPeers guards against flows that are reset although their servers live: a host
+// behind the one that has seen an outage of the store has not seen it itself.
+func TestGraceReachesPeers(t *testing.T) {
+	is := is.New(t)
+	var tracker, peer catalogue.Tracker
+	tracker.Apply(start, servers(1, true, record(server("i-01", 1))))
+	peer.Apply(start, tracker.Snapshot(start, catalogue.Servers))
+	recovered := servers(2, false)
+	recovered.Grace = catalogue.RecoveryGrace
+	tracker.Apply(start, recovered)
+
+	later := start.Add(time.Second)
+	tracker.Apply(later, servers(5, false, removed("i-01", 5)))
+	peer.Apply(later, tracker.Since(later, catalogue.Servers, 1))
+	is.Equal(len(peer.Current().Pool("bench").All), 1)
+	peer.Tick(start.Add(catalogue.RecoveryGrace))
+	is.True(peer.Current().IsRemoved(catalogue.CookieOf("i-01")))
+}
+
 func TestEvacuation(t *testing.T) {
 	is := is.New(t)
 	var tracker catalogue.Tracker
--- a/entry/control.go
+++ b/entry/control.go
@@ -83,6 +83,9 @@
 	if update.Full {
 		update = c.tracker.Since(c.host.network.Now(), update.Source, before)
 	}
+	if update.Source == catalogue.Servers {
+		update.Grace = c.tracker.Grace(c.host.network.Now())
+	}
 	for sub := range c.subscribers {
 		c.enqueue(sub, update)
 	}
--- a/entry/reader.go
+++ b/entry/reader.go
@@ -35,17 +35,22 @@
 			continue
 		}
 		r.follower.Bound = r.host.bound(r.follower.Source)
-		updates, err := r.read(ctx, r.follower.Next(r.host.network.Now()))
+		sent := r.host.network.Now()
+		updates, err := r.read(ctx, r.follower.Next(sent))
 		if ctx.Err() != nil {
 			return nil
 		}
 		if err != nil {
-			r.handleFailure(ctx, err)
+			r.handleFailure(ctx, sent, err)
 			continue
 		}
-		last := updates[len(updates)-1]
-		if r.follower.Succeeded(r.host.network.Now(), last.Version, last.AsOf) {
-			r.host.log.Line("store_regained", "source", last.Source.String(), "version", last.Version)
+		now, last := r.host.network.Now(), updates[len(updates)-1]
+		outage := r.follower.Outage(now)
+		if outage > catalogue.OutageThreshold {
+			updates[0].Grace = catalogue.RecoveryGrace
+		}
+		if r.follower.Succeeded(now, last.Version, last.AsOf) {
+			r.host.log.Line("store_regained", "source", last.Source.String(), "version", last.Version, "outage", outage)
 		}
 		r.logEpochChange(last)
 		select {
@@ -227,7 +232,8 @@
 	}
 }
 
-func (r *storeReader) handleFailure(ctx context.Context, err error) {
+// handleFailure records the failure of a call that was sent at a time, and pauses.
+func (r *storeReader) handleFailure(ctx context.Context, sent time.Time, err error) {
 	source := r.follower.Source.String()
 	if errors.Is(err, platform.ErrHistoryExpired) {
 		r.host.log.Line("history_gone", "source", source)
@@ -236,7 +242,7 @@
 		pause(ctx, r.follower.HistoryExpired())
 		return
 	}
-	wait, lost := r.follower.Failed()
+	wait, lost := r.follower.Failed(sent)
 	if lost {
 		r.host.log.Line("store_lost", "source", source, "error", err)
 	}
--- a/replay/entryhost.go
+++ b/replay/entryhost.go
@@ -26,9 +26,10 @@
 	Host         fleet.HostID       `json:"host,omitempty"`
 	WarmupFactor float64            `json:"cold_over,omitempty"`
 	WarmupSlack  float64            `json:"cold_slack,omitempty"`
-	// Update is a catalogue.Update whose AsOf is RequestedAt.
+	// Update is a catalogue.Update whose AsOf is RequestedAt, or zero if it is Unconfirmed.
 	Update       json.RawMessage  `json:"answer,omitempty"`
 	RequestedAt  Duration         `json:"asked,omitempty"`
+	Unconfirmed  bool             `json:"unconfirmed,omitempty"`
 	Ticked       bool             `json:"ticked,omitempty"`
 	Published    bool             `json:"published,omitempty"`
 	Packet       *EntryPacket     `json:"packet,omitempty"`
@@ -107,7 +108,10 @@
 		if err != nil {
 			return line, err
 		}
-		line.Update, line.RequestedAt = body, r.since(e.Update.AsOf)
+		line.Update, line.Unconfirmed = body, e.Update.AsOf.IsZero()
+		if !line.Unconfirmed {
+			line.RequestedAt = r.since(e.Update.AsOf)
+		}
 	case e.Packet != nil:
 		p := e.Packet.Packet
 		line.Packet = &EntryPacket{
@@ -192,7 +196,9 @@
 		if err := decode(e.Update, &update); err != nil {
 			return "", err
 		}
-		update.AsOf = r.at(e.RequestedAt)
+		if !e.Unconfirmed {
+			update.AsOf = r.at(e.RequestedAt)
+		}
 		r.tracker.Apply(r.at(e.At), update)
 	case e.Ticked:
 		r.tracker.Tick(r.at(e.At))
--- a/replay/entryhost_test.go
+++ b/replay/entryhost_test.go
@@ -5,9 +5,12 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/rattanthread/rattanthread/catalogue"
+	"github.com/rattanthread/rattanthread/entry"
 	"github.com/rattanthread/rattanthread/replay"
 )
 
@@ -48,3 +51,22 @@
 		is.True(strings.HasPrefix(err.Error(), "x.jsonl:1"))
 	}
 }
+
+// TestUnconfirmedUpdate guards against a replay in which an update that may be seconds old counts
+// as one that was confirmed long ago: the next update would find its servers out of date.
+func TestUnconfirmedUpdate(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	var trace strings.Builder
+	recorder := replay.EntryRecorder{Out: &trace}
+	recorder.Record(entry.Event{At: start, Settings: &entry.Settings{DataCentre: "a"}})
+	recorder.Record(entry.Event{At: start, Update: &catalogue.Update{Source: catalogue.Servers, Full: true, Version: 1}})
+	recorder.Record(entry.Event{At: start, Update: &catalogue.Update{Source: catalogue.Servers, Version: 1, AsOf: start.Add(time.Second)}})
+	is.NoErr(recorder.Err())
+	lines := strings.Split(trace.String(), "\n")
+	is.True(strings.Contains(lines[1], `"unconfirmed":true`))
+	is.True(!strings.Contains(lines[1], `"asked"`))
+	is.True(!strings.Contains(lines[2], `"unconfirmed"`))
+	_, err := replay.RunEntry("x.jsonl", strings.NewReader(trace.String()))
+	is.NoErr(err)
+}
--- a/viewcheck/check.go
+++ b/viewcheck/check.go
@@ -105,7 +105,7 @@
 	case 4, 5, 6:
 		reader := s.randomHost()
 		if s.random.IntN(3) == 0 { // after failed calls, reads may be stale
-			reader.follower.Failed()
+			reader.follower.Failed(s.now)
 		}
 		s.read(reader, s.replicaVersion)
 	case 7, 8:
