--- a/entry/update_test.go
+++ b/entry/update_test.go
@@ -36,6 +36,29 @@
 	}
 }
 
+// TestInvalidRecordInFeed guards against hosts that lose servers because of an invalid record that
+// their upstream has read: one of a server that they know, and one of none.
+func TestInvalidRecordInFeed(t *testing.T) {
+	is := is.New(t)
+	record := func(id fleet.ServerID) catalogue.Record {
+		return catalogue.Record{Name: string(id), Changed: 3, Server: &catalogue.Server{
+			ID: id, Service: "bench", Address: netip.MustParseAddrPort("10.0.0.1:80"), DataCentre: "a", Tag: 1, Changed: 3,
+		}}
+	}
+	message, err := entry.EncodeUpdate(
+		catalogue.Update{Source: catalogue.Servers, Full: true, Version: 3, Records: []catalogue.Record{record("i-01"), record("i-02")}},
+		catalogue.Update{Source: catalogue.Servers, Version: 4, Records: []catalogue.Record{
+			{Name: "i-02", Changed: 4, Fault: "exceeded max depth"}, {Name: "other", Changed: 4, Fault: "exceeded max depth"},
+		}},
+	)
+	is.NoErr(err)
+	current, err := entry.ApplyUpdate(testTime, message)
+	is.NoErr(err)
+	is.Equal(len(current.Pool("bench").All), 1)
+	is.Equal(current.Pool("bench").All[0].ID, fleet.ServerID("i-01"))
+	is.True(current.Server(catalogue.CookieOf("i-02")) != nil) // its flows stay
+}
+
 // FuzzUpdate applies feed messages and places a flow with the resulting catalogue.
 func FuzzUpdate(f *testing.F) {
 	address := netip.MustParseAddrPort("198.18.0.1:443")
--- a/platformstandin/site_test.go
+++ b/platformstandin/site_test.go
@@ -1,7 +1,9 @@
 package platformstandin_test
 
 import (
+	"fmt"
 	"os"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -143,3 +145,46 @@
 		})
 	}
 }
+
+// invalidSpecs are contents of records that another writer left among those of targets.
+var invalidSpecs = []string{
+	strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000),
+	`{"service":"bench","address":"10.9.9.9:65536","zone":"a","slots":2,"state":"ready","born":1}`,
+	`{"service":"bench","address":"10.9.9.9:80","zone":"a","slots":1e999,"state":"ready","born":1}`,
+	`{"service":"bench","address":"10.9.9.9:80","zone":"a","slots":2,"cold_remaining_ms":1e300,"state":"ready","born":1}`,
+}
+
+// TestInvalidRecords leaves invalid records among those of targets: before the hosts start, and
+// while they watch. It guards against hosts that end or
+// no longer follow the list. Reads lag, so that hosts start from lists that are stale.
+func TestInvalidRecords(t *testing.T) {
+	for _, name := range []string{"drain", "kill_hosts", "store_forgets"} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				fault, ok := platformstandin.FindFault(name)
+				is.True(ok)
+				site := platformstandin.Site{
+					Zones: []string{"a", "b", "c"}, HostsPerZone: 2, TargetsPerZone: 4, ClientsPerZone: 12, Seed: 1,
+				}
+				site.Store.SetFaults(platformstandin.StoreFaults{ReadLag: time.Second})
+				put := func(prefix string) {
+					for i, spec := range invalidSpecs {
+						site.Store.PutRaw("servers", fmt.Sprintf("%s-%d", prefix, i+1), spec)
+					}
+				}
+				put("a-before")
+				inject := fault.Inject
+				fault.Inject = func(s *platformstandin.Site) {
+					put("z-after") // sorted after the targets
+					inject(s)
+					put("a-before")
+				}
+				report := site.Run(18*time.Second, fault)
+				is.Equal(report.Violations, nil)
+				is.Equal(report.Unready, 0) // hosts that are not ready at the end
+				is.True(report.Served() >= 0.95)
+			})
+		})
+	}
+}
--- a/platformstandin/store.go
+++ b/platformstandin/store.go
@@ -55,7 +55,9 @@
 	// droppedRevision is the revision up to which the history was dropped.
 	droppedRevision uint64
 	changed         chan struct{}
-	faults          StoreFaults
+	// raw holds specs that the encoder rejects, by their placeholders.
+	raw    map[string]string
+	faults StoreFaults
 	// hostFaults overrides faults for single hosts.
 	hostFaults map[string]StoreFaults
 	calls      int
@@ -96,6 +98,18 @@
 	return s.put(kind, name, data)
 }
 
+// PutRaw creates or replaces an object as another writer may, whose spec need not be valid.
+func (s *Store) PutRaw(kind, name, spec string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.raw == nil {
+		s.raw = make(map[string]string)
+	}
+	placeholder := fmt.Sprintf(`"raw spec %d"`, len(s.raw))
+	s.raw[placeholder] = spec
+	s.put(kind, name, json.RawMessage(placeholder))
+}
+
 // put creates or replaces an object. The caller must hold s.mu.
 func (s *Store) put(kind, name string, spec json.RawMessage) uint64 {
 	if s.objects == nil {
@@ -277,7 +291,7 @@
 	serializable := query.Get("serializable") == "1"
 	s.addPrice(serializable)
 	if !query.Has("watch") {
-		writeJSON(w, s.list(kind, query.Get("after"), serializable))
+		s.writeObjects(w, s.list(kind, query.Get("after"), serializable))
 		return
 	}
 	after, err := strconv.ParseUint(query.Get("watch"), 10, 64)
@@ -433,7 +447,7 @@
 			return
 		}
 		if len(events) > 0 && !unresponsive {
-			writeJSON(w, map[string]any{"events": events, "current_rev": revision})
+			s.writeObjects(w, map[string]any{"events": events, "current_rev": revision})
 			return
 		}
 		select {
@@ -445,7 +459,7 @@
 				<-r.Context().Done()
 				return
 			}
-			writeJSON(w, map[string]any{"events": events, "current_rev": revision})
+			s.writeObjects(w, map[string]any{"events": events, "current_rev": revision})
 			return
 		}
 	}
@@ -471,6 +485,21 @@
 	return events, revision, false
 }
 
+// writeObjects responds with a list or with events.
+func (s *Store) writeObjects(w http.ResponseWriter, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		panic(fmt.Sprintf("encode: %v", err))
+	}
+	s.mu.Lock()
+	for placeholder, spec := range s.raw {
+		data = bytes.ReplaceAll(data, []byte(placeholder), []byte(spec))
+	}
+	s.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(data) // the reader may have gone
+}
+
 func writeJSON(w http.ResponseWriter, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(body); err != nil {
--- a/registry/client_test.go
+++ b/registry/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -10,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 
@@ -153,19 +155,40 @@
 }
 
 func TestMalformedHostHidesNoOther(t *testing.T) {
-	is := is.New(t)
-	var server registrystandin.Server
-	client := newClient(&server)
-	is.NoErr(client.Register(t.Context(), fleet.Host{ID: "a1"}, time.Minute))
-	request, err := http.NewRequestWithContext(t.Context(), http.MethodPut, client.URL+"/v1/objects/hosts/a2", strings.NewReader("?"))
-	is.NoErr(err)
-	response, err := client.HTTP.Do(request)
-	is.NoErr(err)
-	is.NoErr(response.Body.Close())
-	hosts, err := client.Hosts(t.Context())
-	is.NoErr(err)
-	is.Equal(len(hosts), 1)
-	is.Equal(client.Counts()[registry.CallMalformed], uint64(1))
+	encode := func(value any) string {
+		data, err := cbor.Marshal(value)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return string(data)
+	}
+	host := func(key string, value any) string {
+		return encode(map[string]any{"host": map[string]any{"id": "a2", key: value}})
+	}
+	tests := []struct{ name, value string }{
+		{"no CBOR", "?"},
+		{"nested too deeply", strings.Repeat("\x81", 100_000) + "\x00"},
+		{"a host nested too deeply", "\xa1\x64host" + strings.Repeat("\x81", 100_000) + "\x00"},
+		{"a number too large", host("strength", uint64(math.MaxUint64))},
+		{"a port out of range", host("peer_address", "10.0.0.1:65536")},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			var server registrystandin.Server
+			client := newClient(&server)
+			is.NoErr(client.Register(t.Context(), fleet.Host{ID: "a1"}, time.Minute))
+			request, err := http.NewRequestWithContext(t.Context(), http.MethodPut, client.URL+"/v1/objects/hosts/a2", strings.NewReader(test.value))
+			is.NoErr(err)
+			response, err := client.HTTP.Do(request)
+			is.NoErr(err)
+			is.NoErr(response.Body.Close())
+			hosts, err := client.Hosts(t.Context())
+			is.NoErr(err)
+			is.Equal(len(hosts), 1)
+			is.Equal(client.Counts()[registry.CallMalformed], uint64(1))
+		})
+	}
 }
 
 func TestErrorsCarryStepAndPeer(t *testing.T) {
