entry: Count the time that a feed's message was under way

What callers saw: nothing that was measured.

Cause: ages in a feed were counted from the arrival of a message. On a slow link, or at a host that was frozen while messages waited in its socket, the state looked newer than it was by that time.

Change: messages carry the time since the feed was requested. The receiver adds the difference to its own time since then, which is at least the time under way, to the ages. Messages of hosts without the field count as before.

Evidence: TestDelayedFeedIsNotRecent fails without the addition.

--- a/entry/feed.go
+++ b/entry/feed.go
@@ -69,13 +69,17 @@
 	Confirmed [catalogue.SourceCount]bool          `cbor:"known"`
 	// Versions holds the version of each source.
 	Versions [catalogue.SourceCount]catalogue.Version `cbor:"versions"`
+	// Elapsed is the time since the feed was requested. The receiver derives from it how long
+	// the message was under way. Hosts of earlier versions do not send it.
+	Elapsed time.Duration `cbor:"elapsed,omitempty"`
 }
 
 // subscriber is a host that receives a feed from this one.
 type subscriber struct {
-	host     fleet.HostID
-	versions [catalogue.SourceCount]catalogue.Version
-	updates  chan catalogue.Update
+	host        fleet.HostID
+	requestedAt time.Time
+	versions    [catalogue.SourceCount]catalogue.Version
+	updates     chan catalogue.Update
 	// cancel ends the feed; rejected is set if there were too many feeds to accept it.
 	cancel   context.CancelFunc
 	rejected atomic.Bool
@@ -106,7 +110,10 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	sub := &subscriber{host: request.Host, versions: request.Versions, updates: make(chan catalogue.Update, feedQueueLength), cancel: cancel}
+	sub := &subscriber{
+		host: request.Host, requestedAt: h.network.Now(), versions: request.Versions,
+		updates: make(chan catalogue.Update, feedQueueLength), cancel: cancel,
+	}
 	if !h.requestSubscription(ctx, subscriptionRequest{subscriber: sub}) {
 		return
 	}
@@ -153,7 +160,7 @@
 			updates = append(updates, update)
 		case <-tick.C:
 		}
-		data, err := cbor.Marshal(h.newFeedMessage(updates, sub.updates))
+		data, err := cbor.Marshal(h.newFeedMessage(updates, sub))
 		if err != nil {
 			return errors.Wrap(err, "encode update")
 		}
@@ -166,12 +173,12 @@
 	}
 }
 
-// newFeedMessage returns a message with the given and the queued updates and the state of
-// this host. It reads the snapshot before the queue, so that a message holds all changes up
+// newFeedMessage returns a message with the given and the queued updates of a subscriber and the
+// state of this host. It reads the snapshot before the queue, so that a message holds all changes up
 // to its versions.
-func (h *Host) newFeedMessage(updates []catalogue.Update, queue <-chan catalogue.Update) feedMessage {
+func (h *Host) newFeedMessage(updates []catalogue.Update, sub *subscriber) feedMessage {
 	state, now := h.snapshot.Load(), h.network.Now()
-	message := feedMessage{Updates: appendQueued(queue, updates), Versions: state.versions}
+	message := feedMessage{Updates: appendQueued(sub.updates, updates), Versions: state.versions, Elapsed: now.Sub(sub.requestedAt)}
 	for source, confirmed := range state.confirmed {
 		message.Confirmed[source] = !confirmed.IsZero()
 		message.Ages[source] = max(0, now.Sub(confirmed))
@@ -278,15 +285,17 @@
 	if err != nil {
 		return errors.Wrap(err, "encode hello")
 	}
+	requested := host.network.Now()
 	if err := stream.Send(dialCtx, data); err != nil {
 		return errors.Wrap(err, "send hello")
 	}
 	host.log.Line("upstream_chosen", "peer", address)
 	host.metrics.upstreams.WithLabelValues("chosen").Inc()
+	feed := requestedFeed{Stream: stream, address: address, at: requested}
 	freshness := upstream.Freshness{SilenceTimeout: feedTimeout}
 	withoutCatalogue, start := !host.snapshot.Load().catalogue.Ready(), host.network.Now()
 	for {
-		if err := f.receiveMessage(ctx, stream, address, &freshness); err != nil {
+		if err := f.receiveMessage(ctx, feed, &freshness); err != nil {
 			return err
 		}
 		if f.shouldLeave(address) {
@@ -324,13 +333,20 @@
 	return now.Sub(start) > startupTimeout || len(announced) > 0 && !slices.Contains(announced, address)
 }
 
+// requestedFeed is a feed of the host at an address, which was requested at a time.
+type requestedFeed struct {
+	*Stream
+	address netip.AddrPort
+	at      time.Time
+}
+
 // receiveMessage receives one message and passes its updates to the control goroutine. The feed
 // replaces reading the store only if its source ranks higher.
-func (f *feedClient) receiveMessage(ctx context.Context, stream *Stream, address netip.AddrPort, freshness *upstream.Freshness) error {
+func (f *feedClient) receiveMessage(ctx context.Context, feed requestedFeed, freshness *upstream.Freshness) error {
 	host := f.host
 	receiveCtx, cancel := context.WithTimeout(ctx, feedTimeout)
 	defer cancel()
-	data, err := stream.Receive(receiveCtx)
+	data, err := feed.Receive(receiveCtx)
 	if err != nil {
 		return errors.Wrap(err, "receive update")
 	}
@@ -339,6 +355,7 @@
 		return errors.Wrap(err, "decode update")
 	}
 	now := host.network.Now()
+	message.addDelay(now.Sub(feed.at))
 	updates := message.updates(now)
 	select {
 	case host.updates <- updates:
@@ -346,7 +363,7 @@
 		return ctx.Err()
 	}
 	freshness.Updated(now, host.slack(&message))
-	if freshness.Fresh(now) && f.chooser.IsHigherRanked(address, host.snapshot.Load().catalogue.Hosts()) {
+	if freshness.Fresh(now) && f.chooser.IsHigherRanked(feed.address, host.snapshot.Load().catalogue.Hosts()) {
 		host.upstreamFreshUntil.Store(now.Add(feedTimeout).UnixNano())
 	}
 	return nil
@@ -371,6 +388,18 @@
 	return message, nil
 }
 
+// addDelay adds the time for which the message was under way to the ages. It is at most the time
+// since the receiver requested the feed, less that since the sender got the request.
+func (m *feedMessage) addDelay(sinceRequest time.Duration) {
+	if m.Elapsed <= 0 {
+		return
+	}
+	delay := max(0, sinceRequest-m.Elapsed)
+	for source := range m.Ages {
+		m.Ages[source] += delay
+	}
+}
+
 // updates converts a message to updates of the catalogue.
 func (m *feedMessage) updates(now time.Time) []catalogue.Update {
 	updates := m.Updates
--- a/entry/feed_test.go
+++ b/entry/feed_test.go
@@ -10,8 +10,10 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-faster/errors"
+	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
 
+	"github.com/rattanthread/rattanthread/catalogue"
 	"github.com/rattanthread/rattanthread/entry"
 	"github.com/rattanthread/rattanthread/platformstandin"
 )
@@ -102,6 +104,50 @@
 	}
 }
 
+// TestDelayedFeedIsNotRecent lets each message of a feed be under way for some time. It guards
+// against a host that relies on a state for too long, because its link to its upstream is slow or
+// it was frozen while messages arrived.
+func TestDelayedFeedIsNotRecent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const delay = 700 * time.Millisecond
+		is := is.New(t)
+		settings, err := entry.LoadSettings(validFile)
+		is.NoErr(err)
+		site := largeSite()
+		revision := site.Store.Put("rattanthread_hosts", "front-a-9", map[string]any{"data_centre": "a", "address": "10.9.0.9:80", "strength": 9})
+		version := catalogue.NewVersion(1, catalogue.Revision(revision+100))
+		network := idleNetwork()
+		network.Store = site.Store.Transport("front-a-1")
+		network.DialFeed = func(context.Context, netip.AddrPort) (*entry.Stream, error) {
+			requested := time.Now()
+			return &entry.Stream{
+				Send: func(context.Context, []byte) error { return nil },
+				Receive: func(context.Context) ([]byte, error) {
+					time.Sleep(400 * time.Millisecond)
+					return cbor.Marshal(map[string]any{
+						"known": []bool{true, true, true, true}, "versions": []catalogue.Version{version, version, version, version},
+						"elapsed": max(1, time.Since(requested)-delay),
+					})
+				},
+				Close: func() {},
+			}, nil
+		}
+		host := entry.Host{Settings: settings, Logger: hclog.NewNullLogger(), Network: &network}
+		ctx, stop := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- host.Run(ctx) }()
+		time.Sleep(4 * time.Second)
+		for range 100 {
+			time.Sleep(30 * time.Millisecond)
+			age := time.Since(entry.ConfirmedAt(&host, catalogue.Servers))
+			is.True(age >= delay)
+			is.True(age < settings.Bounds.Drain)
+		}
+		stop()
+		is.NoErr(<-ended)
+	})
+}
+
 func TestAnnouncement(t *testing.T) {
 	is := is.New(t)
 	network := idleNetwork()
