--- a/catalogue/follower.go
+++ b/catalogue/follower.go
@@ -25,11 +25,11 @@
 	// hostsWatchWait is the wait of a watch of entry hosts, whose changes have no
 	// bound.
 	hostsWatchWait = 10 * time.Second
-	// confirmationDelay is how long after the watch of the servers those of other sources end,
-	// which its version confirms.
+	// confirmationDelay is the time from the end of a watch of the servers to that of the watches
+	// of other sources, which the version of the former confirms.
 	confirmationDelay = 100 * time.Millisecond
-	// confirmationTolerance is how late a confirmation may be, as where changes of the servers
-	// come in quick succession, before a linearizable call makes it.
+	// confirmationTolerance is how much older than the wait of a watch a state may be before it is
+	// confirmed by another call. Changes of the servers in quick succession delay their watches.
 	confirmationTolerance = burstPause
 	// burstPause is the pause after a change within burstGap of another: when many
 	// servers or hosts start together, one call returns many changes.
@@ -60,10 +60,11 @@
 	failingSince time.Time
 	// confirmedAt is the latest time at which version was known to be current.
 	confirmedAt time.Time
-	// unconfirmed counts the successful calls since, if they returned data that may be older
-	// than the next watch could wait for.
+	// unconfirmed counts the successful calls in a row that left the state older than
+	// confirmationTolerance allows.
 	unconfirmed int
-	// provisional means that the first read of all, or after failed calls, may be seconds old.
+	// provisional means that the first successful call of all, or after failed ones, may have
+	// returned data that is seconds old.
 	provisional bool
 	// expiries is the number of expiries of the history since the last successful watch.
 	expiries int
@@ -127,8 +128,8 @@
 	}
 }
 
-// TakeProvisional reports, once, that the first read of all, or after failed calls, may be seconds
-// old.
+// TakeProvisional reports once, before the next call, that the first successful call of all, or
+// after failed ones, may have returned data that is seconds old.
 func (f *Follower) TakeProvisional() bool {
 	provisional := f.provisional
 	f.provisional = false
--- a/catalogue/trackedserver.go
+++ b/catalogue/trackedserver.go
@@ -125,7 +125,7 @@
 	if update.Source != Servers {
 		return
 	}
-	if until := now.Add(update.Grace); until.After(t.graceUntil) {
+	if until := now.Add(min(update.Grace, RecoveryGrace)); until.After(t.graceUntil) {
 		t.graceUntil = until
 	}
 	if last := t.confirmed[Servers]; !last.IsZero() && now.Sub(last) > OutageThreshold {
--- a/entry/feed.go
+++ b/entry/feed.go
@@ -322,7 +322,7 @@
 		return false
 	}
 	f.chooser.Fanout = host.fanout()
-	return f.chooser.ShouldSwitch(host.network.Now(), address, current.Hosts())
+	return f.chooser.ShouldLeave(host.network.Now(), address, current.Hosts())
 }
 
 // shouldSwitch reports whether a host without a catalogue, which has followed an upstream
--- a/platformstandin/site_test.go
+++ b/platformstandin/site_test.go
@@ -15,6 +15,14 @@
 
 // runSite runs a site in virtual time.
 func runSite(t *testing.T, faultName string, seed uint64) *platformstandin.Report {
+	t.Helper()
+	return runPreparedSite(t, faultName, func(site *platformstandin.Site, _ *platformstandin.Fault) {
+		site.Loss, site.Seed = 0.001, seed
+	})
+}
+
+// runPreparedSite runs a site in virtual time, after prepare has changed it and the fault.
+func runPreparedSite(t *testing.T, faultName string, prepare func(*platformstandin.Site, *platformstandin.Fault)) *platformstandin.Report {
 	t.Helper()
 	var report *platformstandin.Report
 	synctest.Test(t, func(t *testing.T) {
@@ -22,9 +30,8 @@
 		if !ok {
 			t.Fatalf("no fault %s", faultName)
 		}
-		site := platformstandin.Site{
-			Zones: []string{"a", "b", "c"}, HostsPerZone: 2, TargetsPerZone: 4, ClientsPerZone: 12, Loss: 0.001, Seed: seed,
-		}
+		site := platformstandin.Site{Zones: []string{"a", "b", "c"}, HostsPerZone: 2, TargetsPerZone: 4, ClientsPerZone: 12, Seed: 1}
+		prepare(&site, &fault)
 		report = site.Run(18*time.Second, fault)
 	})
 	return report
@@ -101,16 +108,9 @@
 // without the first start of the hosts, in which the order of their registrations varies.
 func priceOf(t *testing.T, faultName string) float64 {
 	t.Helper()
-	price := 0.0
-	synctest.Test(t, func(t *testing.T) {
-		fault, ok := platformstandin.FindFault(faultName)
-		if !ok {
-			t.Fatalf("no fault %s", faultName)
-		}
-		site := platformstandin.Site{
-			Zones: []string{"a", "b", "c"}, HostsPerZone: 2, TargetsPerZone: 4, ClientsPerZone: 12, Loss: 0.001, Seed: 1,
-		}
-		before := 0.0
+	before := 0.0
+	report := runPreparedSite(t, faultName, func(site *platformstandin.Site, fault *platformstandin.Fault) {
+		site.Loss = 0.001
 		inject := fault.Inject
 		fault.Inject = func(s *platformstandin.Site) {
 			before = s.Store.Price()
@@ -118,9 +118,8 @@
 				inject(s)
 			}
 		}
-		price = site.Run(18*time.Second, fault).StorePrice - before
 	})
-	return price
+	return report.StorePrice - before
 }
 
 // TestStaleReads lets all serializable reads lag by more than the bounds allow, for as long as
@@ -129,19 +128,13 @@
 func TestStaleReads(t *testing.T) {
 	for _, name := range []string{"drain", "evacuate", "configure"} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				fault, ok := platformstandin.FindFault(name)
-				is.True(ok)
-				site := platformstandin.Site{
-					Zones: []string{"a", "b", "c"}, HostsPerZone: 2, TargetsPerZone: 4, ClientsPerZone: 12, Seed: 1,
-				}
+			is := is.New(t)
+			report := runPreparedSite(t, name, func(site *platformstandin.Site, _ *platformstandin.Fault) {
 				site.Store.SetFaults(platformstandin.StoreFaults{ReadLag: 5 * time.Second})
-				report := site.Run(18*time.Second, fault)
-				is.Equal(report.Violations, nil)
-				is.Equal(report.Unready, 0) // hosts that are not ready at the end
-				is.True(report.Served() >= 0.99)
 			})
+			is.Equal(report.Violations, nil)
+			is.Equal(report.Unready, 0) // hosts that are not ready at the end
+			is.True(report.Served() >= 0.99)
 		})
 	}
 }
@@ -160,13 +153,8 @@
 func TestInvalidRecords(t *testing.T) {
 	for _, name := range []string{"drain", "kill_hosts", "store_forgets"} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				fault, ok := platformstandin.FindFault(name)
-				is.True(ok)
-				site := platformstandin.Site{
-					Zones: []string{"a", "b", "c"}, HostsPerZone: 2, TargetsPerZone: 4, ClientsPerZone: 12, Seed: 1,
-				}
+			is := is.New(t)
+			report := runPreparedSite(t, name, func(site *platformstandin.Site, fault *platformstandin.Fault) {
 				site.Store.SetFaults(platformstandin.StoreFaults{ReadLag: time.Second})
 				put := func(prefix string) {
 					for i, spec := range invalidSpecs {
@@ -180,11 +168,10 @@
 					inject(s)
 					put("a-before")
 				}
-				report := site.Run(18*time.Second, fault)
-				is.Equal(report.Violations, nil)
-				is.Equal(report.Unready, 0) // hosts that are not ready at the end
-				is.True(report.Served() >= 0.95)
 			})
+			is.Equal(report.Violations, nil)
+			is.Equal(report.Unready, 0) // hosts that are not ready at the end
+			is.True(report.Served() >= 0.95)
 		})
 	}
 }
--- a/upstream/chooser.go
+++ b/upstream/chooser.go
@@ -62,9 +62,9 @@
 	return slices.ContainsFunc(c.higherRanked(peers), func(peer fleet.Host) bool { return peer.PeerAddress == address })
 }
 
-// ShouldSwitch reports whether the host should leave the upstream at an address: at once if it
+// ShouldLeave reports whether the host should leave the upstream at an address: at once if it
 // must not follow that peer, and after settleTime if the tree of feeds has changed.
-func (c *Chooser) ShouldSwitch(now time.Time, upstream netip.AddrPort, peers []fleet.Host) bool {
+func (c *Chooser) ShouldLeave(now time.Time, upstream netip.AddrPort, peers []fleet.Host) bool {
 	if !c.IsHigherRanked(upstream, peers) {
 		return true
 	}
--- a/upstream/chooser_test.go
+++ b/upstream/chooser_test.go
@@ -254,8 +254,8 @@
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
 			chooser := upstream.Chooser{Self: self}
-			is.Equal(chooser.ShouldSwitch(start, test.upstream, test.known), test.atOnce)
-			is.Equal(chooser.ShouldSwitch(start.Add(2*time.Second), test.upstream, test.known), test.later)
+			is.Equal(chooser.ShouldLeave(start, test.upstream, test.known), test.atOnce)
+			is.Equal(chooser.ShouldLeave(start.Add(2*time.Second), test.upstream, test.known), test.later)
 		})
 	}
 }
@@ -279,6 +279,6 @@
 			ID: fleet.HostID(fmt.Sprint("added-", second)), DataCentre: "a", Strength: 1 + second,
 			PeerAddress: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 1, byte(second)}), 8166),
 		})
-		is.True(!chooser.ShouldSwitch(start.Add(time.Duration(second)*time.Second), followed.PeerAddress, known))
+		is.True(!chooser.ShouldLeave(start.Add(time.Duration(second)*time.Second), followed.PeerAddress, known))
 	}
 }
