entry: End what is known of a server when it starts again

Cause: evidence was kept by the cookie, a hash of the id, and a probe by the record with which it had begun. It went on at the old address, which refuses for ever.

The fault restart_elsewhere violates FLOW before the change, TestRestartedServerIsJudgedAnew and TestProbeOfEarlierStart need what it adds.

Change: a record's address and start are one identity. When a catalogue with another one is published, reachability, suspicion and latency of the server are discarded before the next packet is decided; a probe of an earlier start ends and its result is not used. Flows opened on a cold server still count against its limit. The replay of traces does the same.

--- a/catalogue/catalogue.go
+++ b/catalogue/catalogue.go
@@ -36,6 +36,21 @@
 // Server returns the server that a cookie identifies, or nil.
 func (c *Catalogue) Server(cookie Cookie) *Server { return c.servers[cookie] }
 
+// Restarted returns the servers that have started again, or at another address, since an earlier
+// catalogue, which may be nil.
+func (c *Catalogue) Restarted(earlier *Catalogue) []*Server {
+	if earlier == nil {
+		return nil
+	}
+	var restarted []*Server
+	for cookie, server := range c.servers {
+		if before := earlier.servers[cookie]; before != nil && !server.SameStart(before) {
+			restarted = append(restarted, server)
+		}
+	}
+	return restarted
+}
+
 // IsRemoved reports whether the server that a cookie identifies is known to have been
 // removed.
 func (c *Catalogue) IsRemoved(cookie Cookie) bool { return c.removed[cookie] }
--- a/catalogue/server.go
+++ b/catalogue/server.go
@@ -65,5 +65,11 @@
 	Cookie Cookie `cbor:"-"`
 }
 
+// SameStart reports whether another record of the server is of the same start at the same address.
+// What is known of an earlier start does not apply to a later one.
+func (s *Server) SameStart(other *Server) bool {
+	return s.Started == other.Started && s.Address == other.Address
+}
+
 // IsCold reports whether the server can still take only reduced load.
 func (s *Server) IsCold(now time.Time) bool { return now.Before(s.WarmAt) }
--- a/entry/control.go
+++ b/entry/control.go
@@ -144,6 +144,7 @@
 	host.snapshot.Store(next)
 	if changed {
 		host.record(Event{Published: true})
+		host.forwarder.CatalogueChanged(before, next.catalogue)
 	}
 	host.mu.Unlock()
 	if !before.Ready() && next.catalogue.Ready() {
--- a/entry/export_test.go
+++ b/entry/export_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/rattanthread/rattanthread/catalogue"
 	"github.com/rattanthread/rattanthread/fleet"
+	"github.com/rattanthread/rattanthread/forwarding"
 	"github.com/rattanthread/rattanthread/placement"
 )
 
@@ -159,3 +160,17 @@
 func ConfirmedAt(h *Host, source catalogue.Source) time.Time {
 	return h.snapshot.Load().confirmed[source]
 }
+
+// ProbeOfEarlierStart records that a server refused a probe, after its record has changed, and
+// reports whether the server counts as unreachable.
+func ProbeOfEarlierStart(network Network, before, after catalogue.Update) bool {
+	host := Host{network: network, metrics: newMetrics()}
+	host.log.Logger, host.log.Now = hclog.NewNullLogger(), network.Now
+	var tracker catalogue.Tracker
+	tracker.Apply(network.Now(), before)
+	server := tracker.Current().Server(catalogue.CookieOf(before.Records[0].Server.ID))
+	tracker.Apply(network.Now(), after)
+	host.snapshot.Store(&snapshot{catalogue: tracker.Current()})
+	host.recordProbe(server, forwarding.Probe{Server: server.Cookie, Began: network.Now(), Evidence: placement.Refused})
+	return host.forwarder.Chooser.Reachability.Unreachable(server.Cookie)
+}
--- a/entry/probe.go
+++ b/entry/probe.go
@@ -48,7 +48,8 @@
 	}
 }
 
-// probeServer probes a server until it accepts a connection or its record is removed.
+// probeServer probes a server until it accepts a connection, its record is removed, or it has
+// started again.
 func (h *Host) probeServer(ctx context.Context, server *catalogue.Server) {
 	attempts, delay := probeAttempts, inconclusiveRetryDelay
 	for {
@@ -73,11 +74,14 @@
 			return
 		}
 		delay = probeInterval
-		if h.snapshot.Load().catalogue.Server(server.Cookie) == nil {
+		switch current := h.snapshot.Load().catalogue.Server(server.Cookie); {
+		case current == nil:
 			h.mu.Lock()
 			h.forwarder.Chooser.Reachability.Forget(server.Cookie)
 			h.mu.Unlock()
 			return
+		case !current.SameStart(server): // the state is that of the new start
+			return
 		}
 	}
 }
@@ -94,10 +98,17 @@
 }
 
 // recordProbe records the result of a probe and resets the flows of an unreachable server.
-// It reports whether the flows of the server have been ended.
+// It reports whether the flows of the server have been ended. The result of a probe of an earlier
+// start says nothing about the server.
 func (h *Host) recordProbe(server *catalogue.Server, probe forwarding.Probe) bool {
 	h.mu.Lock()
-	flows, related := h.forwarder.RecordProbe(h.network.Now(), h.snapshot.Load().catalogue, probe)
+	catalogue := h.snapshot.Load().catalogue
+	if current := catalogue.Server(server.Cookie); current != nil && !current.SameStart(server) {
+		h.mu.Unlock()
+		h.log.Line("probe_outdated", "server", server.ID, "result", probe.Evidence.String(), "probed", server.Address, "address", current.Address)
+		return false
+	}
+	flows, related := h.forwarder.RecordProbe(h.network.Now(), catalogue, probe)
 	ended := h.forwarder.Chooser.Reachability.FlowsEnded(server.Cookie)
 	unreachable := h.forwarder.Chooser.Reachability.Unreachable(server.Cookie)
 	h.record(Event{Probe: &ProbeEvent{Probe: probe, Flows: len(flows)}})
--- a/entry/probe_test.go
+++ b/entry/probe_test.go
@@ -172,3 +172,33 @@
 	}
 	return update
 }
+
+// TestProbeOfEarlierStart guards against flows of a living server that are reset because an
+// earlier start of it, or its earlier address, refused a probe.
+func TestProbeOfEarlierStart(t *testing.T) {
+	tests := []struct {
+		name    string
+		change  func(*catalogue.Server)
+		applies bool
+	}{
+		{"the record says the same", func(*catalogue.Server) {}, true},
+		{"the server drains", func(s *catalogue.Server) { s.Draining = true }, true},
+		{"the server has started again", func(s *catalogue.Server) { s.Started = 5 }, false},
+		{"the server has another address", func(s *catalogue.Server) { s.Address = netip.MustParseAddrPort("10.0.0.2:80") }, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			update := func(version catalogue.Version, change func(*catalogue.Server)) catalogue.Update {
+				server := *probedServer
+				server.Started, server.Changed = 4, version
+				change(&server)
+				return catalogue.Update{Source: catalogue.Servers, Full: true, Version: version, Records: []catalogue.Record{
+					{Name: string(server.ID), Changed: version, Server: &server},
+				}}
+			}
+			before, after := update(1, func(*catalogue.Server) {}), update(2, test.change)
+			is.Equal(entry.ProbeOfEarlierStart(idleNetwork(), before, after), test.applies)
+		})
+	}
+}
--- a/forwarding/forwarder.go
+++ b/forwarding/forwarder.go
@@ -281,6 +281,17 @@
 	return f.flows.RemoveServer(probe.Server), candidates
 }
 
+// CatalogueChanged discards what was learned of earlier starts of the servers that have started
+// again since the previous catalogue, which may be nil. Flows that were opened on a cold server
+// still count against its limit.
+func (f *Forwarder) CatalogueChanged(previous, current *catalogue.Catalogue) {
+	for _, server := range current.Restarted(previous) {
+		f.Chooser.Reachability.Forget(server.Cookie)
+		f.Chooser.Suspects.Forget(server.Cookie)
+		f.Chooser.Loads.Forget(server.Cookie)
+	}
+}
+
 // RemoveServer discards the state of a removed server. It returns a packet of
 // each flow to reset.
 func (f *Forwarder) RemoveServer(server catalogue.Cookie) []Packet {
--- a/forwarding/forwarder_test.go
+++ b/forwarding/forwarder_test.go
@@ -197,6 +197,50 @@
 	is.True(forwarder.Decide(start.Add(time.Second), current, start, openingPacket()).Server != placed.Server)
 }
 
+// TestRestartedServerIsJudgedAnew guards against flows that are reset, or placed elsewhere, for
+// what an earlier start of their server did.
+func TestRestartedServerIsJudgedAnew(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(*catalogue.Server)
+		anew   bool
+	}{
+		{"no change", func(*catalogue.Server) {}, false},
+		{"started again", func(s *catalogue.Server) { s.Started = 7 }, true},
+		{"at another address", func(s *catalogue.Server) { s.Address = netip.MustParseAddrPort("10.0.0.77:80") }, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			var store fakeStore
+			forwarder := newForwarder()
+			tracker := newTracker()
+			first := newServer("i-01", "bench")
+			tracker.Apply(start, store.configuration("bench"))
+			tracker.Apply(start, store.servers(first))
+			before := tracker.Current()
+			placed := forwarder.Decide(start, before, start, openingPacket())
+			packet := segmentPacket(placed)
+			now := start
+			for range 4 {
+				now = now.Add(200 * time.Millisecond)
+				forwarder.Decide(now, before, start, packet) // retransmissions raise a suspicion
+			}
+			forwarder.RecordProbe(now, before, forwarding.Probe{Server: placed.Server.Cookie, Began: start, Evidence: placement.Refused})
+			is.True(forwarder.Chooser.Suspects.Suspected(now, placed.Server.Cookie))
+
+			second := first
+			test.change(&second)
+			tracker.Apply(start, store.servers(second))
+			after := tracker.Current()
+			forwarder.CatalogueChanged(before, after)
+			is.Equal(forwarder.Decide(now, after, start, packet).Action == forwarding.Forward, test.anew)
+			is.Equal(!forwarder.Chooser.Suspects.Suspected(now, placed.Server.Cookie), test.anew)
+			is.Equal(!forwarder.Chooser.Reachability.Probing(placed.Server.Cookie), test.anew)
+		})
+	}
+}
+
 func TestReachableServerKeepsItsFlows(t *testing.T) {
 	is := is.New(t)
 	var store fakeStore
--- a/placement/suspects.go
+++ b/placement/suspects.go
@@ -72,6 +72,9 @@
 	return state != nil && now.Before(state.suspectedUntil)
 }
 
+// Forget discards the state of a server.
+func (s *Suspects) Forget(server catalogue.Cookie) { delete(s.servers, server) }
+
 func orDefault[T comparable](value, fallback T) T {
 	var zero T
 	if value == zero {
--- a/platformstandin/fault.go
+++ b/platformstandin/fault.go
@@ -50,6 +50,7 @@
 		}},
 		{"hosts_start_stale", "all hosts are restarted just after a zone is taken out of service, and serializable reads lag by 1 s", (*Site).startFromStaleLists},
 		{"hosts_added", "one host of each zone is added later, then targets lose their records one after the other", (*Site).addHosts},
+		{"restart_elsewhere", "a target starts again under its ID at another address, then hosts are restarted and stopped", (*Site).restartTargetElsewhere},
 		{"most_start_blind", "all but one host of each zone are restarted while the store responds with status 503", (*Site).startMostWithoutStore},
 	}
 }
@@ -427,12 +428,7 @@
 // have been without it for some time. Then targets, one every two seconds, are cut off from the
 // store, while they serve on.
 func (s *Site) addHosts() {
-	var added []*Node
-	for i, node := range s.hosts {
-		if i%s.HostsPerZone == s.HostsPerZone-1 {
-			added = append(added, node)
-		}
-	}
+	added := s.lastHosts()
 	s.killNodes(added)
 	for _, node := range added {
 		s.Store.Delete("rattanthread_hosts", node.Name)
@@ -446,5 +442,50 @@
 	}
 }
 
+// restartTargetElsewhere crashes a target and starts it again at another address, before the store
+// removes its record. Then the last host of each zone is killed and started again, and the other
+// targets of the zone crash, so that clients open flows to the target through that host. It is
+// then stopped as planned, so that other hosts forward these flows.
+func (s *Site) restartTargetElsewhere() {
+	time.Sleep(2 * time.Second)
+	restarted := s.targets[0]
+	s.withLock(func() { restarted.crash(Refusing) })
+	time.Sleep(1200 * time.Millisecond)
+	s.withLock(func() {
+		s.targetByAddr[restarted.Address] = &Target{ID: restarted.ID, Service: restarted.Service, Zone: restarted.Zone, tag: restarted.tag, state: Refusing}
+		s.targetCount++
+		restarted.Address = s.targetAddress(s.targetCount)
+		s.targetByAddr[restarted.Address] = restarted
+		restarted.state, restarted.since = Running, time.Now()
+		restarted.starts++
+	})
+	last := s.lastHosts()
+	time.Sleep(time.Second)
+	s.killNodes(last)
+	time.Sleep(200 * time.Millisecond)
+	s.restartExited()
+	time.Sleep(1500 * time.Millisecond)
+	s.withLock(func() {
+		for _, t := range s.targets[1:s.TargetsPerZone] {
+			t.crash(Refusing)
+		}
+	})
+	time.Sleep(5 * time.Second)
+	for _, node := range last {
+		s.ProcessOf(node).Stop()
+	}
+}
+
+// lastHosts returns the last host of each zone.
+func (s *Site) lastHosts() []*Node {
+	var last []*Node
+	for i, node := range s.hosts {
+		if i%s.HostsPerZone == s.HostsPerZone-1 {
+			last = append(last, node)
+		}
+	}
+	return last
+}
+
 // String returns the name and the description of the fault.
 func (f Fault) String() string { return fmt.Sprintf("%-20s %s", f.Name, f.Description) }
--- a/platformstandin/site.go
+++ b/platformstandin/site.go
@@ -253,7 +253,8 @@
 
 func (s *Site) registerTarget(t *Target, missed map[string]int) {
 	s.mu.Lock()
-	state, cut := t.state, t.cutFromStore
+	state, cut, restarted := t.state, t.cutFromStore, t.starts != t.registeredStarts
+	t.registeredStarts = t.starts
 	t.heartbeats++
 	s.mu.Unlock()
 	stateNames := map[TargetState]string{Running: "ready", Draining: "draining"}
@@ -265,12 +266,12 @@
 			s.Store.Delete("servers", t.ID)
 			s.withLock(func() { t.recordRemovedAt = time.Now() })
 		}
-	case missed[t.ID] == 0 && s.Store.spec("servers", t.ID)["state"] == stateName:
+	case missed[t.ID] == 0 && s.Store.spec("servers", t.ID)["state"] == stateName && !restarted:
 	default:
 		missed[t.ID] = 0
 		s.Store.Put("servers", t.ID, map[string]any{
 			"service": t.Service, "address": t.Address.String(), "zone": t.Zone, "version": "v1", "slots": targetSlots,
-			"state": stateName, "cold_remaining_ms": t.warmupLeft().Milliseconds(), "seq": t.heartbeats, "born": 1,
+			"state": stateName, "cold_remaining_ms": t.warmupLeft().Milliseconds(), "seq": t.heartbeats, "born": 1 + t.starts,
 		})
 	}
 }
--- a/platformstandin/target.go
+++ b/platformstandin/target.go
@@ -35,6 +35,8 @@
 	ServiceTime time.Duration
 
 	tag uint64
+	// starts counts the starts under the ID after the first.
+	starts, registeredStarts int
 	// heartbeats is the number of heartbeats sent.
 	heartbeats int
 	// cutFromStore means that heartbeats don't reach the store, while the target serves on.
--- a/replay/entryhost.go
+++ b/replay/entryhost.go
@@ -203,7 +203,9 @@
 	case e.Ticked:
 		r.tracker.Tick(r.at(e.At))
 	case e.Published:
+		previous := r.current
 		r.current = r.tracker.Current()
+		r.forwarder.CatalogueChanged(previous, r.current)
 	case e.Packet != nil:
 		p := e.Packet
 		return formatDecision(r.forwarder.Decide(r.at(e.At), r.current, r.at(p.Confirmed), forwarding.Packet{
