catalogue: Confirm servers once in the wait of a watch

What callers saw: nothing; a price.

Change: servers are watched with serializable reads as well, and their changes read with a linearizable read when the wait of a watch has passed since the last one. The age of the state and the time to detect a watch that went silent stay the same (TestChangesDoNotDelayConfirmation, TestSilentWatchIsNoticedInTime, TestStaleReads).

--- a/catalogue/follower.go
+++ b/catalogue/follower.go
@@ -25,8 +25,8 @@
 	// hostsWatchWait is the wait of a watch of entry hosts, whose changes have no
 	// bound.
 	hostsWatchWait = 10 * time.Second
-	// confirmationDelay is the time from the end of a watch of the servers to that of the watches
-	// of other sources, which the version of the former confirms.
+	// confirmationDelay is the time from a linearizable read of the servers to the end of the
+	// watches of other sources, which the version of the former confirms.
 	confirmationDelay = 100 * time.Millisecond
 	// confirmationTolerance is how much older than the wait of a watch a state may be before it is
 	// confirmed by another call. Changes of the servers in quick succession delay their watches.
@@ -95,18 +95,19 @@
 	}
 	wait := f.watchWait(now)
 	timeout := callTimeout * time.Duration(min(max(1, f.failures), maxTimeoutFactor))
-	return Call{Source: f.Source, Linearizable: f.linearizable(), After: f.version, Wait: wait, Timeout: wait + timeout}
+	return Call{Source: f.Source, Linearizable: f.linearizable(now), After: f.version, Wait: wait, Timeout: wait + timeout}
 }
 
-// linearizable reports whether the next watch must be linearizable. That of the servers always
-// is, and its version confirms the other sources (see [ReadIndex]), unless their reads lag. The
-// list of hosts has no bound. While the store is unavailable, cheaper calls detect its recovery.
-func (f *Follower) linearizable() bool {
+// linearizable reports whether the next watch must be linearizable. That of the servers is when
+// a confirmation is due, and its version confirms the other sources (see [ReadIndex]), unless
+// their reads lag. The list of hosts has no bound. While the store is unavailable, cheaper calls
+// detect its recovery.
+func (f *Follower) linearizable(now time.Time) bool {
 	switch {
 	case f.Source == Hosts || f.failures > 1:
 		return false
 	case f.Source == Servers || f.failures == 1:
-		return true
+		return f.watchWait(now) == 0
 	}
 	return f.unconfirmed > 1
 }
