entry: Tests of grace at its reader, in feeds, and of leaving a seed

Change: TestServersStayInUseAfterAnOutage, TestGraceIsForwarded and TestSeedIsLeft, each of which fails with its mutant.

--- a/entry/export_test.go
+++ b/entry/export_test.go
@@ -84,6 +84,20 @@
 	return len(sub.updates)
 }
 
+// ForwardedUpdates applies updates in a control loop and returns those that a subscriber gets.
+func ForwardedUpdates(ctx context.Context, network Network, updates ...catalogue.Update) []catalogue.Update {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	host := runControl(ctx, network)
+	sub := &subscriber{updates: make(chan catalogue.Update, feedQueueLength), cancel: cancel}
+	host.requestSubscription(ctx, subscriptionRequest{subscriber: sub})
+	for _, update := range updates {
+		host.updates <- []catalogue.Update{update}
+	}
+	host.requestSubscription(ctx, subscriptionRequest{subscriber: sub, unsubscribe: true}) // all have been applied
+	return appendQueued(sub.updates, nil)
+}
+
 // FeedsAccepted requests feeds from a host with some limits and returns how many it accepts.
 func FeedsAccepted(ctx context.Context, network Network, limits Limits, requests int) int {
 	ctx, cancel := context.WithCancel(ctx)
@@ -174,3 +188,8 @@
 	host.recordProbe(server, forwarding.Probe{Server: server.Cookie, Began: network.Now(), Evidence: placement.Refused})
 	return host.forwarder.Chooser.Reachability.Unreachable(server.Cookie)
 }
+
+// PoolSize returns how many servers of a service may get new flows from a host.
+func PoolSize(h *Host, service fleet.ServiceName) int {
+	return len(h.snapshot.Load().catalogue.Pool(service).All)
+}
--- a/entry/feed_test.go
+++ b/entry/feed_test.go
@@ -148,6 +148,79 @@
 	})
 }
 
+// TestGraceIsForwarded guards against flows that are reset although their servers live: hosts
+// behind one that has seen an outage of the store must keep the servers without records as long.
+func TestGraceIsForwarded(t *testing.T) {
+	is := is.New(t)
+	server := catalogue.Server{ID: "i-01", Service: "bench", Address: netip.MustParseAddrPort("10.0.0.1:80"), DataCentre: "a", Tag: 1, Changed: 1}
+	forwarded := entry.ForwardedUpdates(t.Context(), idleNetwork(),
+		catalogue.Update{Source: catalogue.Servers, Full: true, Version: 1, Records: []catalogue.Record{{Name: "i-01", Changed: 1, Server: &server}}},
+		catalogue.Update{Source: catalogue.Servers, Version: 2, Grace: catalogue.RecoveryGrace},
+		catalogue.Update{Source: catalogue.Servers, Version: 3, Records: []catalogue.Record{{Name: "i-01", Changed: 3, Removed: true}}},
+	)
+	is.Equal(len(forwarded), 3)
+	is.Equal(forwarded[0].Grace, time.Duration(0))
+	is.True(forwarded[2].Grace > 0 && forwarded[2].Grace <= catalogue.RecoveryGrace)
+}
+
+// TestSeedIsLeft guards against hosts that follow each other: a host that got its catalogue from a
+// seed, which does not rank before it, must leave it when the store responds.
+func TestSeedIsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		settings, err := entry.LoadSettings(validFile)
+		is.NoErr(err)
+		site := largeSite()
+		site.Store.SetFaults(platformstandin.StoreFaults{Outage: platformstandin.Unavailable})
+		version := catalogue.NewVersion(1, 2)
+		server := catalogue.Server{ID: "i-01", Service: "bench", Address: netip.MustParseAddrPort("10.0.0.1:80"), DataCentre: "a", Tag: 1, Changed: version}
+		first, err := entry.EncodeUpdate(
+			catalogue.Update{Source: catalogue.Configurations, Full: true, Version: version, Records: []catalogue.Record{{Name: "main", Changed: version, Configuration: &catalogue.Configuration{Number: 1}}}},
+			catalogue.Update{Source: catalogue.Evacuations, Full: true, Version: version},
+			catalogue.Update{Source: catalogue.Servers, Full: true, Version: version, Records: []catalogue.Record{{Name: "i-01", Changed: version, Server: &server}}},
+		)
+		is.NoErr(err)
+		var open, requests atomic.Int32 // feeds
+		network := idleNetwork()
+		network.Store = site.Store.Transport("front-a-1")
+		network.DialFeed = func(context.Context, netip.AddrPort) (*entry.Stream, error) {
+			open.Add(1)
+			return &entry.Stream{
+				Send: func(_ context.Context, message []byte) error {
+					var hello map[string]any
+					if err := cbor.Unmarshal(message, &hello); err != nil {
+						return err
+					}
+					if hello["knows"] == nil { // not an announcement
+						requests.Add(1)
+					}
+					return nil
+				},
+				Receive: func(context.Context) ([]byte, error) {
+					time.Sleep(400 * time.Millisecond)
+					return first, nil
+				},
+				Close: func() { open.Add(-1) },
+			}, nil
+		}
+		host := entry.Host{Settings: settings, Logger: hclog.NewNullLogger(), Network: &network}
+		ctx, stop := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- host.Run(ctx) }()
+		time.Sleep(6 * time.Second)
+		is.True(host.Ready()) // with the catalogue of a seed
+		is.Equal(open.Load(), int32(1))
+		site.Store.SetFaults(platformstandin.StoreFaults{})
+		time.Sleep(4 * time.Second)
+		is.Equal(open.Load(), int32(0))
+		followed := requests.Load()
+		time.Sleep(10 * time.Second)
+		is.Equal(requests.Load(), followed) // reads the store by itself
+		stop()
+		is.NoErr(<-ended)
+	})
+}
+
 func TestAnnouncement(t *testing.T) {
 	is := is.New(t)
 	network := idleNetwork()
--- a/entry/reader_test.go
+++ b/entry/reader_test.go
@@ -187,3 +187,37 @@
 		is.NoErr(<-ended)
 	})
 }
+
+// TestServersStayInUseAfterAnOutage removes records of servers while the store responds, and while
+// it does not. It guards against load that concentrates on the servers that could renew their
+// records in time: after an outage the others must stay in use for the grace period.
+func TestServersStayInUseAfterAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		settings, err := entry.LoadSettings(validFile)
+		is.NoErr(err)
+		site := largeSite()
+		network := idleNetwork()
+		network.Store = site.Store.Transport("front-a-1")
+		host := entry.Host{Settings: settings, Logger: hclog.NewNullLogger(), Network: &network}
+		ctx, stop := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- host.Run(ctx) }()
+		time.Sleep(5 * time.Second)
+		all := entry.PoolSize(&host, "bench")
+		site.Store.Delete("servers", "i-000001")
+		time.Sleep(time.Second)
+		is.Equal(entry.PoolSize(&host, "bench"), all-1)
+
+		site.Store.SetFaults(platformstandin.StoreFaults{Outage: platformstandin.Unavailable})
+		time.Sleep(4 * time.Second)
+		site.Store.Delete("servers", "i-000002")
+		site.Store.SetFaults(platformstandin.StoreFaults{})
+		time.Sleep(1500 * time.Millisecond)
+		is.Equal(entry.PoolSize(&host, "bench"), all-1)
+		time.Sleep(3 * time.Second)
+		is.Equal(entry.PoolSize(&host, "bench"), all-2)
+		stop()
+		is.NoErr(<-ended)
+	})
+}
