--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -17,6 +17,7 @@
 var cases = map[string]func(w *world, trouble bool) (int, error){
 	"silent":  silentChannels,
 	"route":   newRoute,
+	"reborn":  rebornTargets,
 	"partial": partialEntry,
 }
 
--- a/review/stand-2/target.go
+++ b/review/stand-2/target.go
@@ -33,8 +33,11 @@
 	number  uint64
 	address netip.AddrPort
 	work    time.Duration
-	conn    *net.UDPConn
-	health  net.Listener
+	// cold is how long the target is cold after its start.
+	cold   time.Duration
+	born   time.Time
+	conn   *net.UDPConn
+	health net.Listener
 
 	mu       sync.Mutex
 	flows    map[[2]netip.AddrPort]*targetFlow
@@ -60,28 +63,45 @@
 		world: w, id: fmt.Sprintf("i-%08x", number), number: number, service: service, zone: zone, work: work,
 		address: netip.AddrPortFrom(w.address(2, n), w.targetPort), flows: make(map[[2]netip.AddrPort]*targetFlow),
 	}
+	if err := t.start(); err != nil {
+		return nil, err
+	}
+	w.mu.Lock()
+	w.targets = append(w.targets, t)
+	w.mu.Unlock()
+	return t, nil
+}
+
+// startAgain starts a target that has ended again, under its id and at its address. It knows nothing of before, and is cold.
+func (t *target) startAgain() (*target, error) {
+	again := &target{
+		world: t.world, id: t.id, number: t.number, service: t.service, zone: t.zone, work: t.work, cold: 2 * time.Second,
+		address: t.address, flows: make(map[[2]netip.AddrPort]*targetFlow),
+	}
+	return again, again.start()
+}
+
+// start opens the sockets of a target and registers it.
+func (t *target) start() error {
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(t.address))
 	if err != nil {
-		return nil, err
+		return err
 	}
-	t.conn = conn
+	t.conn, t.born = conn, time.Now()
 	if t.health, err = net.Listen("tcp4", t.address.String()); err != nil {
-		return nil, err
+		return err
 	}
 	go func() { _ = (&http.Server{Handler: t, ReadHeaderTimeout: time.Minute}).Serve(t.health) }()
 	go t.receive()
 	t.register("ready")
-	w.mu.Lock()
-	w.targets = append(w.targets, t)
-	w.mu.Unlock()
-	return t, nil
+	return nil
 }
 
 // register writes the entry of the target, and returns when the store confirmed it.
 func (t *target) register(state string) time.Time {
 	return t.world.store.put("servers", t.id, map[string]any{
 		"service": t.service, "address": t.address.String(), "zone": t.zone, "version": "v1", "slots": 8, "state": state,
-		"cold_remaining_ms": 0, "seq": 1, "born": time.Now().UnixMilli(),
+		"cold_remaining_ms": max(0, t.cold-time.Since(t.born)).Milliseconds(), "seq": 1, "born": t.born.UnixMilli(),
 	})
 }
 
