--- a/review/stand-2/partial.go
+++ b/review/stand-2/partial.go
@@ -9,7 +9,8 @@
 // checkIn is the interval at which targets write their entries.
 const checkIn = 1200 * time.Millisecond
 
-// partialEntry lets another writer replace the entry of a draining target by one without version, cold_remaining_ms and seq.
+// partialEntry lets another writer replace the entry of a draining target by one without version, remaining
+// warm-up and seq.
 // The target writes its own again with its next check-in.
 func partialEntry(w *world, trouble bool) (int, error) {
 	const service = "benchline"
@@ -46,7 +47,7 @@
 				w.store.put("servers", leaving.id, map[string]any{
 					"service": service, "address": leaving.address.String(), "zone": leaving.zone, "slots": 8, "state": "ready",
 				})
-				w.record.printf("another writer puts an entry of %s that has no version, cold_remaining_ms and seq", leaving.id)
+				w.record.printf("another writer puts an entry of %s that has no version, %s and seq", leaving.id, wire["cold_remaining"])
 			}
 			time.Sleep(checkIn * 3 / 4)
 			leaving.register("draining")
--- a/review/stand-2/requester.go
+++ b/review/stand-2/requester.go
@@ -244,7 +244,7 @@
 	client := &http.Client{Timeout: 450 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
 	misses := 2
 	for range time.Tick(500 * time.Millisecond) {
-		response, err := client.Get("http://" + netip.AddrPortFrom(h.addr, w.readinessPort).String() + "/api/ready")
+		response, err := client.Get("http://" + netip.AddrPortFrom(h.addr, w.readinessPort).String() + wire["ready"])
 		ok := err == nil && response.StatusCode == http.StatusOK
 		if err == nil {
 			_ = response.Body.Close()
--- a/review/stand-2/store.go
+++ b/review/stand-2/store.go
@@ -120,7 +120,7 @@
 		spec = nil
 	}
 	return map[string]any{
-		"meta": map[string]any{"name": c.name, "revision": c.revision, "created_rev": c.created, "finalizers": []string{}, "deleting": false},
+		"meta": map[string]any{"name": c.name, "revision": c.revision, wire["created"]: c.created, "finalizers": []string{}, "deleting": false},
 		"spec": spec, "status": nil,
 	}
 }
@@ -169,7 +169,7 @@
 // ServeHTTP serves lists, watches and writes.
 func (d *door) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Store-Era", "1")
-	path, ok := strings.CutPrefix(r.URL.Path, "/api/objects/")
+	path, ok := strings.CutPrefix(r.URL.Path, wire["objects"])
 	if !ok {
 		w.WriteHeader(http.StatusNotFound)
 		return
@@ -200,11 +200,11 @@
 		for _, c := range list {
 			items = append(items, c.object())
 		}
-		reply(w, map[string]any{"items": items, "more": false, "current_rev": revision})
+		reply(w, map[string]any{"items": items, "more": false, wire["store_revision"]: revision})
 		return
 	}
 	after, err := strconv.ParseUint(query.Get("watch"), 10, 64)
-	waitMS, waitErr := strconv.Atoi(query.Get("wait_ms"))
+	waitMS, waitErr := strconv.Atoi(query.Get(wire["wait"]))
 	if err != nil || waitErr != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
@@ -220,7 +220,7 @@
 		for _, c := range events {
 			objects = append(objects, map[string]any{"object": c.object(), "deleted": c.deleted})
 		}
-		reply(w, map[string]any{"events": objects, "current_rev": revision})
+		reply(w, map[string]any{"events": objects, wire["store_revision"]: revision})
 		d.mu.Lock()
 		f := d.onRead
 		d.mu.Unlock()
--- a/review/stand-2/target.go
+++ b/review/stand-2/target.go
@@ -12,8 +12,8 @@
 	"time"
 )
 
-// idHeader is the header with the id of a request.
-const idHeader = "X-Rattanthread-Request-Id: "
+// idHeader begins the header line with the id of a request.
+var idHeader = wire["request_header"] + ": "
 
 // opening is an opening packet that a target took.
 type opening struct {
@@ -101,13 +101,13 @@
 func (t *target) register(state string) time.Time {
 	return t.world.store.put("servers", t.id, map[string]any{
 		"service": t.service, "address": t.address.String(), "zone": t.zone, "version": "v1", "slots": 8, "state": state,
-		"cold_remaining_ms": max(0, t.cold-time.Since(t.born)).Milliseconds(), "seq": 1, "born": t.born.UnixMilli(),
+		wire["cold_remaining"]: max(0, t.cold-time.Since(t.born)).Milliseconds(), "seq": 1, "born": t.born.UnixMilli(),
 	})
 }
 
 // ServeHTTP answers liveness checks.
 func (t *target) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set("X-Rattanthread-Instance-Id", t.id)
+	w.Header().Set(wire["target_header"], t.id)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.draining {
@@ -234,7 +234,7 @@
 	t.world.ran(id, t)
 	time.Sleep(t.work)
 	body := "done by " + t.id
-	response := []byte("HTTP/1.1 200 OK\r\nX-Rattanthread-Response-Seal: " + id + "\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body)
+	response := []byte("HTTP/1.1 200 OK\r\n" + wire["seal_header"] + ": " + id + "\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body)
 	t.mu.Lock()
 	seq := f.seq
 	f.seq += uint32(len(response))
