--- a/review/stand-2/reborn.go
+++ b/review/stand-2/reborn.go
@@ -47,7 +47,7 @@
 	time.Sleep(5 * time.Second)
 	var violations, failed, done atomic.Int64
 	stopped := w.hosts[2]
-	for trial := range 5 {
+	for trial := range 6 {
 		if err := w.awaitReady(); err != nil {
 			return 0, err
 		}
@@ -66,7 +66,7 @@
 			w.record.printf("SIGTERM to %s", stopped.name)
 			_ = stopped.process.Process.Signal(syscall.SIGTERM)
 		}
-		time.Sleep(time.Duration(200+rand.IntN(500)) * time.Millisecond)
+		time.Sleep(time.Duration(250+rand.IntN(200)) * time.Millisecond)
 		for i, t := range targets {
 			again, err := t.startAgain()
 			if err != nil {
