--- a/review/stand-2/link.go
+++ b/review/stand-2/link.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"time"
 )
 
 // link is the path of the channels to one address. Its zero value is whole.
@@ -10,7 +11,7 @@
 	mu sync.Mutex
 	// silenced counts the events after which the channels open by then carry nothing more.
 	silenced int
-	// dark means that new channels carry nothing either.
+	// dark means that the path is cut: what is sent is held up until it is whole again.
 	dark bool
 }
 
@@ -21,34 +22,33 @@
 	l.silenced++
 }
 
-// cut makes the path silent until heal.
-func (l *link) cut() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.dark = true
-	l.silenced++
-}
+// cut cuts the path, silently, until it is healed.
+func (l *link) cut() { l.setDark(true) }
 
-// heal ends a cut. What was sent on the channels of before is lost.
-func (l *link) heal() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.dark = false
-	l.silenced++
-}
+func (l *link) heal() { l.setDark(false) }
 
-func (l *link) isDark() bool {
+func (l *link) setDark(dark bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.dark
+	l.dark = dark
 }
 
-func (l *link) epoch() (int, bool) {
+func (l *link) state() (silenced int, dark bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.silenced, l.dark
 }
 
+// awaitWhole waits while the path is cut.
+func (l *link) awaitWhole() {
+	for {
+		if _, dark := l.state(); !dark {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
 // linkListener accepts channels that follow the state of a link.
 type linkListener struct {
 	net.Listener
@@ -61,8 +61,8 @@
 	if err != nil {
 		return nil, err
 	}
-	epoch, _ := l.link.epoch()
-	return &linkConn{Conn: conn, link: l.link, opened: epoch}, nil
+	silenced, _ := l.link.state()
+	return &linkConn{Conn: conn, link: l.link, opened: silenced}, nil
 }
 
 // linkConn is a channel over a link.
@@ -73,22 +73,24 @@
 }
 
 func (c *linkConn) silent() bool {
-	epoch, dark := c.link.epoch()
-	return dark || epoch != c.opened
+	silenced, _ := c.link.state()
+	return silenced != c.opened
 }
 
-// Read discards what arrives while the channel is silent.
+// Read holds what arrives during a cut, and discards it once the channel is silent.
 func (c *linkConn) Read(b []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(b)
+		c.link.awaitWhole()
 		if err != nil || !c.silent() {
 			return n, err
 		}
 	}
 }
 
-// Write loses what is sent while the channel is silent.
+// Write holds what is sent during a cut, and loses it once the channel is silent.
 func (c *linkConn) Write(b []byte) (int, error) {
+	c.link.awaitWhole()
 	if c.silent() {
 		return len(b), nil
 	}
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -13,6 +15,9 @@
 	couldnRun = 2
 )
 
+// maxLength is how long a case may take.
+const maxLength = 115 * time.Second
+
 // cases are the cases by name. Each returns the violations of its rule.
 var cases = map[string]func(w *world, trouble bool) (int, error){
 	"silent":  silentChannels,
@@ -43,6 +48,18 @@
 	defer w.stop()
 	trouble := os.Getenv("TROUBLE") != "0"
 	r.printf("case %s, disruption: %t", os.Args[1], trouble)
+	go func() {
+		stop := make(chan os.Signal, 1)
+		signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+		select {
+		case <-stop:
+			r.printf("could not run: stopped from outside")
+		case <-time.After(maxLength):
+			r.printf("could not run: not done after %s", maxLength)
+		}
+		w.stop()
+		os.Exit(couldnRun)
+	}()
 	violations, err := cases[os.Args[1]](w, trouble)
 	if err != nil {
 		r.printf("could not run: %v", err)
--- a/review/stand-2/partial.go
+++ b/review/stand-2/partial.go
@@ -6,9 +6,6 @@
 	"time"
 )
 
-// checkIn is the interval at which targets write their entries.
-const checkIn = 1200 * time.Millisecond
-
 // partialEntry lets another writer replace the entry of a draining target by one without version, remaining
 // warm-up and seq.
 // The target writes its own again with its next check-in.
@@ -45,13 +42,10 @@
 			time.Sleep(5 * time.Second)
 			if trouble {
 				w.store.put("servers", leaving.id, map[string]any{
-					"service": service, "address": leaving.address.String(), "zone": leaving.zone, "slots": 8, "state": "ready",
+					"service": service, "address": leaving.address.String(), "zone": leaving.zone, "slots": slots, "state": "ready",
 				})
 				w.record.printf("another writer puts an entry of %s that has no version, %s and seq", leaving.id, wire["cold_remaining"])
 			}
-			time.Sleep(checkIn * 3 / 4)
-			leaving.register("draining")
-			w.record.printf("%s checks in", leaving.id)
 		})
 		for n := 0; time.Since(drained) < 8*time.Second; n++ {
 			flows.Go(func() {
--- a/review/stand-2/reborn.go
+++ b/review/stand-2/reborn.go
@@ -76,7 +76,7 @@
 		}
 		w.record.printf("the targets of %s have started again under their ids", service)
 		var flows sync.WaitGroup
-		for n := range 24 {
+		for n := range 16 {
 			flows.Go(func() {
 				name := fmt.Sprintf("q-%d-%d", trial, n)
 				f, res := client.dial(route)
@@ -102,7 +102,7 @@
 					time.Sleep(60 * time.Millisecond)
 				}
 			})
-			time.Sleep(25 * time.Millisecond)
+			time.Sleep(35 * time.Millisecond)
 		}
 		flows.Wait()
 		if trouble {
--- a/review/stand-2/requester.go
+++ b/review/stand-2/requester.go
@@ -166,6 +166,11 @@
 				continue
 			}
 			f.echo = p.echo
+			if p.flags&flagFIN != 0 && p.seq == f.ack { // the target closes the flow
+				f.ack++
+				f.send(packet{echo: f.echo, seq: f.seq, ack: f.ack, flags: flagACK})
+				continue
+			}
 			received = received || p.ack == f.seq
 			if len(p.data) > 0 && p.seq == f.ack {
 				f.ack += uint32(len(p.data))
@@ -173,6 +178,11 @@
 				if strings.Contains(string(p.data), "Response-Seal: "+id) {
 					return answered
 				}
+				if strings.Contains(string(p.data), wire["not_executed_header"]) {
+					return "503, not run"
+				}
+				r := f.requester.world.record
+				r.printf("MIXED %s got a foreign answer", id)
 				return "foreign answer"
 			}
 		case <-time.After(min(time.Until(resend), time.Until(end))):
--- a/review/stand-2/silent.go
+++ b/review/stand-2/silent.go
@@ -118,8 +118,10 @@
 			time.Sleep(8 * time.Millisecond)
 		}
 		flows.Wait()
-		reader.door.link.heal()
-		w.record.printf("the cut is over")
+		if trouble {
+			reader.door.link.heal()
+			w.record.printf("the cut is over")
+		}
 		leaving.end()
 		if _, err := w.startTarget(service, "a", 20*time.Millisecond); err != nil {
 			return 0, err
--- a/review/stand-2/store.go
+++ b/review/stand-2/store.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"reflect"
 	"sort"
 	"strconv"
 	"strings"
@@ -11,7 +12,7 @@
 	"time"
 )
 
-// change is one change of the store. It is never altered after it was made.
+// change is one change of the store. Check-ins that change nothing else replace its spec.
 type change struct {
 	at       time.Time
 	revision uint64
@@ -42,6 +43,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	key := kind + "/" + name
+	if last := s.last(kind, name); last != nil && s.created[key] != 0 && sameEntry(last.spec, data) {
+		last.spec = data // neither an event nor a revision: nothing changed but the number of the check-in
+		return time.Now()
+	}
 	s.revision++
 	if s.created[key] == 0 {
 		s.created[key] = s.revision
@@ -50,6 +55,32 @@
 	return time.Now()
 }
 
+// last returns the last change of an object, or nil. The caller holds mu.
+func (s *store) last(kind, name string) *change {
+	for i := len(s.log) - 1; i >= 0; i-- {
+		if s.log[i].kind == kind && s.log[i].name == name {
+			return &s.log[i]
+		}
+	}
+	return nil
+}
+
+// sameEntry reports whether two specs differ in seq and the remaining warm-up at most.
+func sameEntry(a, b json.RawMessage) bool {
+	var first, second map[string]any
+	if json.Unmarshal(a, &first) != nil || json.Unmarshal(b, &second) != nil {
+		return false
+	}
+	if (first["seq"] == nil) != (second["seq"] == nil) {
+		return false
+	}
+	for _, m := range []map[string]any{first, second} {
+		delete(m, "seq")
+		delete(m, wire["cold_remaining"])
+	}
+	return reflect.DeepEqual(first, second)
+}
+
 func (s *store) remove(kind, name string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -184,6 +215,10 @@
 		d.write(w, r, kind, name)
 		return
 	case http.MethodDelete:
+		if !d.store.exists(kind, name) {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
 		d.store.remove(kind, name)
 		reply(w, map[string]any{})
 		return
@@ -224,7 +259,7 @@
 		d.mu.Lock()
 		f := d.onRead
 		d.mu.Unlock()
-		if f != nil && linearizable && kind == "servers" && !d.link.isDark() {
+		if f != nil && linearizable && kind == "servers" {
 			f()
 		}
 		return
--- a/review/stand-2/target.go
+++ b/review/stand-2/target.go
@@ -39,8 +39,14 @@
 	conn   *net.UDPConn
 	health net.Listener
 
-	mu       sync.Mutex
-	flows    map[[2]netip.AddrPort]*targetFlow
+	// slots holds the requests that are worked on, and queue those that wait too.
+	slots, queue chan struct{}
+
+	mu    sync.Mutex
+	flows map[[2]netip.AddrPort]*targetFlow
+	// closed holds the flows that have ended here.
+	closed   map[[2]netip.AddrPort]bool
+	seq      int
 	draining bool
 	ended    bool
 }
@@ -56,11 +62,14 @@
 func (w *world) startTarget(service, zone string, work time.Duration) (*target, error) {
 	w.mu.Lock()
 	w.targetCount++
-	n := w.targetCount
+	n, cold := w.targetCount, time.Duration(0)
+	if w.started {
+		cold = coldTime
+	}
 	w.mu.Unlock()
 	number := rand.Uint64N(1<<31) + 1
 	t := &target{
-		world: w, id: fmt.Sprintf("i-%08x", number), number: number, service: service, zone: zone, work: work,
+		world: w, id: fmt.Sprintf("i-%08x", number), number: number, service: service, zone: zone, work: work, cold: cold,
 		address: netip.AddrPortFrom(w.address(2, n), w.targetPort), flows: make(map[[2]netip.AddrPort]*targetFlow),
 	}
 	if err := t.start(); err != nil {
@@ -75,7 +84,7 @@
 // startAgain starts a target that has ended again, under its id and at its address. It knows nothing of before, and is cold.
 func (t *target) startAgain() (*target, error) {
 	again := &target{
-		world: t.world, id: t.id, number: t.number, service: t.service, zone: t.zone, work: t.work, cold: 2 * time.Second,
+		world: t.world, id: t.id, number: t.number, service: t.service, zone: t.zone, work: t.work, cold: coldTime,
 		address: t.address, flows: make(map[[2]netip.AddrPort]*targetFlow),
 	}
 	return again, again.start()
@@ -88,25 +97,65 @@
 		return err
 	}
 	t.conn, t.born = conn, time.Now()
+	t.closed, t.slots, t.queue = make(map[[2]netip.AddrPort]bool), make(chan struct{}, slots), make(chan struct{}, 2*slots)
 	if t.health, err = net.Listen("tcp4", t.address.String()); err != nil {
 		return err
 	}
 	go func() { _ = (&http.Server{Handler: t, ReadHeaderTimeout: time.Minute}).Serve(t.health) }()
 	go t.receive()
-	t.register("ready")
+	t.register()
+	go t.checkIn()
 	return nil
 }
 
+// coldTime is how long a target is cold that starts during traffic.
+const coldTime = 2 * time.Second
+
+// slots is how many requests a target works on at once. It queues as many more.
+const slots = 8
+
+// checkInInterval is the interval at which targets write their entries.
+const checkInInterval = 1200 * time.Millisecond
+
+// checkIn writes the entry of the target until it ends.
+func (t *target) checkIn() {
+	for range time.Tick(checkInInterval) {
+		if !t.alive() {
+			return
+		}
+		t.register()
+	}
+}
+
+func (t *target) alive() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.ended
+}
+
 // register writes the entry of the target, and returns when the store confirmed it.
-func (t *target) register(state string) time.Time {
+func (t *target) register() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.ended {
+		return time.Now()
+	}
+	t.seq++
+	state := "ready"
+	if t.draining {
+		state = "draining"
+	}
 	return t.world.store.put("servers", t.id, map[string]any{
-		"service": t.service, "address": t.address.String(), "zone": t.zone, "version": "v1", "slots": 8, "state": state,
-		wire["cold_remaining"]: max(0, t.cold-time.Since(t.born)).Milliseconds(), "seq": 1, "born": t.born.UnixMilli(),
+		"service": t.service, "address": t.address.String(), "zone": t.zone, "version": "v1", "slots": slots, "state": state,
+		wire["cold_remaining"]: max(0, t.cold-time.Since(t.born)).Milliseconds(), "seq": t.seq, "born": t.born.UnixMilli(),
 	})
 }
 
 // ServeHTTP answers liveness checks.
 func (t *target) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	t.slots <- struct{}{} // a liveness check occupies a slot
+	time.Sleep(time.Millisecond)
+	<-t.slots
 	w.Header().Set(wire["target_header"], t.id)
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -119,7 +168,7 @@
 	t.mu.Lock()
 	t.draining = true
 	t.mu.Unlock()
-	return t.register("draining")
+	return t.register()
 }
 
 // end ends the target and removes its entry.
@@ -129,7 +178,7 @@
 	t.mu.Unlock()
 	_ = t.conn.Close()
 	_ = t.health.Close()
-	t.world.store.remove("servers", t.id)
+	t.world.store.remove("servers", t.id) // check-ins write nothing from now on
 }
 
 // holds reports whether a flow is open at the target.
@@ -182,7 +231,13 @@
 		return
 	}
 	if f == nil {
-		if p.flags&flagRST == 0 {
+		switch {
+		case p.flags&flagRST != 0:
+		case t.closed[key] && len(p.data) == 0:
+			if p.flags&flagFIN != 0 {
+				t.send(&targetFlow{echo: p.echo, expected: p.seq + 1}, p, flagACK, p.ack, nil)
+			}
+		default:
 			t.send(&targetFlow{echo: p.echo, expected: p.seq}, p, flagRST, p.ack, nil)
 		}
 		return
@@ -211,6 +266,7 @@
 		f.expected = p.seq + 1
 		t.send(f, p, flagACK, f.seq, nil)
 		delete(t.flows, key)
+		t.closed[key] = true
 		return
 	}
 	if len(p.data) > 0 {
@@ -224,17 +280,38 @@
 	_, _ = t.conn.WriteToUDPAddrPort(p.encode(), netip.AddrPortFrom(to.from.Addr(), t.world.packetsPort))
 }
 
-// run works on a request and sends the response until it is acknowledged.
+// run works on a request and responds, or says that it did not run if its queue is full.
 func (t *target) run(f *targetFlow, p packet) {
 	id := "?"
 	if _, rest, ok := strings.Cut(string(p.data), idHeader); ok {
 		id, _, _ = strings.Cut(rest, "\r\n")
 	}
+	key := [2]netip.AddrPort{p.from, p.to}
+	select {
+	case t.queue <- struct{}{}:
+	default:
+		t.respond(f, p, "HTTP/1.1 503 Service Unavailable\r\n"+wire["not_executed_header"]+": 1\r\nContent-Length: 0\r\n\r\n")
+		return
+	}
+	defer func() { <-t.queue }()
+	t.slots <- struct{}{}
 	t.world.record.printf("run %s at %s of %s for route %s", id, t.id, t.service, p.to)
 	t.world.ran(id, t)
 	time.Sleep(t.work)
+	<-t.slots
 	body := "done by " + t.id
-	response := []byte("HTTP/1.1 200 OK\r\n" + wire["seal_header"] + ": " + id + "\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body)
+	t.respond(f, p, "HTTP/1.1 200 OK\r\n"+wire["seal_header"]+": "+id+"\r\nContent-Length: "+strconv.Itoa(len(body))+"\r\n\r\n"+body)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.draining && t.flows[key] == f { // it closes each flow after its next response
+		t.send(f, p, flagFIN|flagACK, f.seq, nil)
+		f.seq++
+	}
+}
+
+// respond sends a response until it is acknowledged.
+func (t *target) respond(f *targetFlow, p packet, text string) {
+	response := []byte(text)
 	t.mu.Lock()
 	seq := f.seq
 	f.seq += uint32(len(response))
--- a/review/stand-2/world.go
+++ b/review/stand-2/world.go
@@ -44,6 +44,8 @@
 	runs                                   map[string]*target
 	routes                                 []map[string]any
 	version                                int
+	// started means that the machines have started, so that new targets are cold.
+	started bool
 }
 
 func newWorld(r *record) (*world, error) {
@@ -183,6 +185,9 @@
 		}
 		go w.pollReadiness(h)
 	}
+	w.mu.Lock()
+	w.started = true
+	w.mu.Unlock()
 	return w.awaitReady()
 }
 
@@ -228,7 +233,7 @@
 
 // addRoute adds a route to the routes that publish writes.
 func (w *world) addRoute(number int, service string) netip.AddrPort {
-	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, 0, byte(number)}), 8080)
+	address := netip.AddrPortFrom(w.address(5, number), 8080)
 	w.routes = append(w.routes, map[string]any{
 		"name": fmt.Sprintf("r-%d", number), "host": address.Addr().String(), wire["port_of_route"]: "/8080/", "type": "non_idempotent", "timeout_ms": 1000,
 		"aim_ms": 150, "priority": 1, "service": service, "max_attempts": 2,
