forwarding: Open flows of a route that the host does not have yet are not reset

What callers saw: a configuration added a route while the only host of a data centre was stopped as planned. Callers had opened flows on the route through that host. As the flows moved to hosts of other data centres these reset them, and requests that must not be repeated were lost with their flows.

A flow that arrives from another host may have been opened on a route that was added after that confirmation.

Change: a packet of an open flow without a route is refused only if the configuration was confirmed for a time at which this host had already seen the flow as open, which shows that the route was removed. Otherwise the flow's cookie identifies its server. The same holds for a route that was removed and added again, and for a service that is new with its route. The lines no_route and route_unknown show the configuration and the age of the flow at this host. A request in flight on a flow that is reset this way no longer counts as load of its server.

TestRouteIsUnknownWithoutConfirmation sent a packet of an open flow, since its kind was not set, and expected the reset that is the fault. It sends opening packets now, as its purpose demands, and TestFlowOfUnconfirmedConfigurationIsNotReset has the open flows.

Conclusion: what a confirmed state lacks proves something only about flows that are older than the confirmation, which an upper limit of its age can't show.

--- a/entry/age_test.go
+++ b/entry/age_test.go
@@ -373,8 +373,9 @@
 	}
 }
 
-// TestRouteIsUnknownWithoutConfirmation guards against resets of flows by a configuration whose time
-// of confirmation is not known or impossible.
+// TestRouteIsUnknownWithoutConfirmation guards against refusals of new flows by a configuration whose
+// time of confirmation is not known or impossible. Packets of open flows are those of
+// TestFlowOfUnconfirmedConfigurationIsNotReset.
 func TestRouteIsUnknownWithoutConfirmation(t *testing.T) {
 	is := is.New(t)
 	server := catalogue.Server{ID: "i-01", Service: "bench", Address: netip.MustParseAddrPort("10.0.0.1:80"), DataCentre: "a", Tag: 1, Changed: 1}
@@ -387,7 +388,9 @@
 	current, err := entry.ApplyUpdate(testTime, message)
 	is.NoErr(err)
 	is.True(current.Ready())
-	packet := forwarding.Packet{Source: netip.MustParseAddrPort("100.64.0.1:1000"), Destination: netip.MustParseAddrPort("198.18.0.1:443")}
+	packet := forwarding.Packet{
+		Source: netip.MustParseAddrPort("100.64.0.1:1000"), Destination: netip.MustParseAddrPort("198.18.0.1:443"), Kind: forwarding.Opening,
+	}
 	for confirmedAt, want := range map[time.Time]forwarding.Reason{
 		testTime.Add(-time.Second):      forwarding.NoRoute,
 		{}:                              forwarding.RouteUnknown,
--- a/entry/packets.go
+++ b/entry/packets.go
@@ -84,8 +84,11 @@
 		"age_ms", loggedAge(now, current.confirmed[catalogue.Servers]),
 		"configuration_age_ms", loggedAge(now, current.confirmed[catalogue.Configurations]),
 	}
-	if decision.Reason == forwarding.NoRoom {
+	switch decision.Reason {
+	case forwarding.NoRoom:
 		pairs = append(pairs, "data_centre", decision.AdmittedBy)
+	case forwarding.NoRoute, forwarding.RouteUnknown:
+		pairs = append(pairs, "configuration", current.catalogue.Configuration.Number, "flow_age_ms", loggedAge(now, decision.OpenSince))
 	}
 	h.log.Line(decision.Reason.String(), pairs...)
 }
--- a/forwarding/flowtable.go
+++ b/forwarding/flowtable.go
@@ -103,6 +103,8 @@
 	received uint32
 	length   int
 	lastSent time.Time
+	// openSince is when the first packet of the open flow was seen; zero while it is being opened.
+	openSince time.Time
 	// requestTime is when the last new packet of the pending request was sent; zero
 	// means that no request is pending.
 	requestTime time.Time
@@ -173,16 +175,16 @@
 	key := keyOf(packet)
 	before := f.lookup(key)
 	next := flowState{
-		server: server, seq: packet.Seq, ack: packet.Ack, received: before.received, length: packet.Length, lastSent: now, requestTime: before.requestTime,
-		inFlight: before.inFlight,
+		server: server, seq: packet.Seq, ack: packet.Ack, received: before.received, length: packet.Length, lastSent: now, openSince: before.openSince,
+		requestTime: before.requestTime, inFlight: before.inFlight,
 	}
 	var record PacketRecord
 	switch {
 	case before.server == 0:
-		next.received = packet.Seq
+		next.received, next.openSince = packet.Seq, now
 		f.removeAttempt(key)
 	case before.opening || before.server != server:
-		record.Signal, next.received = Response, packet.Seq
+		record.Signal, next.received, next.openSince = Response, packet.Seq, now
 		f.removeAttempt(key)
 	case int32(packet.Ack-before.ack) > 0:
 		record.Signal = Response
@@ -288,26 +290,49 @@
 
 // Contains reports whether a packet of the flow was forwarded recently.
 func (f *FlowTable) Contains(packet *Packet) bool {
-	key := keyOf(packet)
-	if _, ok := f.current[key]; ok {
-		return true
-	}
-	_, ok := f.previous[key]
+	_, ok := f.peek(keyOf(packet))
 	return ok
 }
 
+// OpenSince returns when the first packet of the open flow was seen. It is zero if none was seen
+// recently.
+func (f *FlowTable) OpenSince(packet *Packet) time.Time {
+	state, _ := f.peek(keyOf(packet))
+	return state.openSince
+}
+
 // Remove removes a flow and returns its request in flight.
 func (f *FlowTable) Remove(packet *Packet) InFlight {
 	key := keyOf(packet)
-	state, ok := f.current[key]
-	if !ok {
-		state = f.previous[key]
-	}
+	state, _ := f.peek(key)
 	delete(f.current, key)
 	delete(f.previous, key)
 	return state.inFlight
 }
 
+// TakeRequest ends the request in flight of a flow and returns it.
+func (f *FlowTable) TakeRequest(packet *Packet) InFlight {
+	key := keyOf(packet)
+	for _, flows := range []map[flowKey]flowState{f.current, f.previous} {
+		if state, ok := flows[key]; ok {
+			request := state.inFlight
+			state.inFlight = InFlight{}
+			flows[key] = state
+			return request
+		}
+	}
+	return InFlight{}
+}
+
+// peek returns the state of a flow, which stays in its generation.
+func (f *FlowTable) peek(key flowKey) (flowState, bool) {
+	state, ok := f.current[key]
+	if !ok {
+		state, ok = f.previous[key]
+	}
+	return state, ok
+}
+
 // lookup returns the state of a flow, or the zero value, and removes it from the
 // previous generation.
 func (f *FlowTable) lookup(key flowKey) flowState {
--- a/forwarding/forwarder.go
+++ b/forwarding/forwarder.go
@@ -106,6 +106,9 @@
 	Unresponsive fleet.ServerID
 	// Probe is a server that may have failed and should be probed now, or nil.
 	Probe *catalogue.Server
+	// OpenSince is when the host first saw the open flow, if its route is not known; zero means that it has not
+	// seen the flow before.
+	OpenSince time.Time
 	// LoadChanged means that the server became busy or stopped being so.
 	LoadChanged, Busy bool
 	// SuspicionRaised and SuspicionCleared identify the server whose suspicion the
@@ -128,7 +131,8 @@
 type Forwarder struct {
 	Chooser placement.Chooser
 	// MaxConfigurationAge is the maximum time since the configuration was confirmed
-	// for the lack of a route to be certain. Zero means DefaultMaxConfigurationAge.
+	// for new flows to be refused for the lack of a route. Zero means
+	// DefaultMaxConfigurationAge.
 	MaxConfigurationAge time.Duration
 	// Utilisation returns the load of servers, and Demand the demand of a service by priority. If
 	// one of them is nil, no flow is refused for lack of capacity.
@@ -166,29 +170,44 @@
 		return Decision{Reason: NotReady}
 	}
 	route := current.Route(packet.Destination)
-	if route == nil {
-		return f.decideWithoutRoute(now, confirmed, packet)
-	}
-	if packet.Kind == Opening {
+	switch {
+	case packet.Kind == Opening && route == nil:
+		return f.decideOpeningWithoutRoute(now, confirmed)
+	case packet.Kind == Opening:
 		return f.decideOpening(now, current, route, packet)
+	case route == nil:
+		return f.decideSegmentWithoutRoute(now, current, confirmed, packet)
 	}
 	return f.decideSegment(now, current, packet)
 }
 
-// decideWithoutRoute refuses a packet without a route if the lack of a route is
-// certain.
-func (f *Forwarder) decideWithoutRoute(now, confirmed time.Time, packet Packet) Decision {
+// decideOpeningWithoutRoute refuses a new flow without a route if the configuration is recent.
+func (f *Forwarder) decideOpeningWithoutRoute(now, confirmed time.Time) Decision {
 	maxAge := f.MaxConfigurationAge
 	if maxAge == 0 {
 		maxAge = DefaultMaxConfigurationAge
 	}
-	age, known := catalogue.AgeAt(now, confirmed)
-	if packet.Kind == Reset || !known || age > maxAge {
+	if age, known := catalogue.AgeAt(now, confirmed); !known || age > maxAge {
 		return Decision{Reason: RouteUnknown}
 	}
 	return Decision{Action: Refuse, Reason: NoRoute}
 }
 
+// decideSegmentWithoutRoute refuses a packet of an open flow if the configuration was confirmed after the flow had
+// been seen: its route was then removed. Otherwise the flow may have been opened through another host with a later
+// configuration, and is forwarded by its cookie.
+func (f *Forwarder) decideSegmentWithoutRoute(now time.Time, current *catalogue.Catalogue, confirmed time.Time, packet Packet) Decision {
+	openSince := f.flows.OpenSince(&packet)
+	decision := Decision{Action: Refuse, Reason: NoRoute}
+	if _, known := catalogue.AgeAt(now, confirmed); packet.Kind != Reset && known && !openSince.IsZero() && !openSince.After(confirmed) {
+		f.recordEnd(now, current, packet.Destination, f.flows.TakeRequest(&packet))
+	} else if decision = f.decideSegment(now, current, packet); decision.Action != Refuse {
+		decision.Reason = RouteUnknown
+	}
+	decision.OpenSince = openSince
+	return decision
+}
+
 // decideOpening selects the server of a new flow.
 func (f *Forwarder) decideOpening(now time.Time, current *catalogue.Catalogue, route *catalogue.Route, packet Packet) Decision {
 	hash := keyOf(&packet).hash()
--- a/forwarding/preview.go
+++ b/forwarding/preview.go
@@ -33,7 +33,7 @@
 	}
 	route := current.Route(packet.Destination)
 	if route == nil {
-		decision := f.decideWithoutRoute(now, confirmed, packet)
+		decision := f.decideOpeningWithoutRoute(now, confirmed)
 		return Preview{Action: decision.Action, Reason: decision.Reason}
 	}
 	hash := keyOf(&packet).hash()
