entry: Decisions use the time of confirmation of their catalogue

What callers saw: nothing known. It could reset open flows of a new route: the rule that a flow is reset only by a configuration that was confirmed after the flow had been seen depends on that time.

Decisions combined the former catalogue with the later time.

Decisions, their lines and previews use that. Feeds and readers go on using the time of the updates.

Figures: none beyond the test. TestConfirmationIsThatOfTheCatalogue, run with the former rule: confirmed 2 ms after the start instead of 1 ms, with a catalogue that lacks the route of the second update.

--- a/entry/control.go
+++ b/entry/control.go
@@ -130,8 +130,9 @@
 // nextBuild has passed.
 func (c *control) publish() {
 	host := c.host
-	before := host.snapshot.Load().catalogue
-	next := &snapshot{catalogue: before}
+	last := host.snapshot.Load()
+	before := last.catalogue
+	next := &snapshot{catalogue: before, catalogueConfirmed: last.catalogueConfirmed}
 	for source := range catalogue.Source(catalogue.SourceCount) {
 		next.versions[source] = c.tracker.Version(source)
 		next.confirmed[source] = c.tracker.ConfirmedAt(source)
@@ -144,6 +145,9 @@
 		end := host.network.Now()
 		c.nextBuild = end.Add(min(buildPauseFactor*end.Sub(start), maxBuildPause))
 	}
+	if !c.pending {
+		next.catalogueConfirmed = next.confirmed
+	}
 	host.mu.Lock()
 	host.snapshot.Store(next)
 	if changed {
--- a/entry/export_test.go
+++ b/entry/export_test.go
@@ -88,6 +88,20 @@
 	return len(sub.updates)
 }
 
+// DecisionInputs applies updates in a control loop, one after the other, and returns the catalogue that decisions are based
+// on, and when the records of a source in it were confirmed.
+func DecisionInputs(ctx context.Context, network Network, updates ...catalogue.Update) func(catalogue.Source) (*catalogue.Catalogue, time.Time) {
+	host := runControl(ctx, network)
+	for _, update := range updates {
+		host.updates <- []catalogue.Update{update}
+	}
+	host.requestSubscription(ctx, subscriptionRequest{subscriber: &subscriber{}, unsubscribe: true}) // all have been applied
+	return func(source catalogue.Source) (*catalogue.Catalogue, time.Time) {
+		state := host.snapshot.Load()
+		return state.catalogue, state.catalogueConfirmed[source]
+	}
+}
+
 // ForwardedUpdates applies updates in a control loop and returns those that a subscriber gets.
 func ForwardedUpdates(ctx context.Context, network Network, updates ...catalogue.Update) []catalogue.Update {
 	ctx, cancel := context.WithCancel(ctx)
--- a/entry/host.go
+++ b/entry/host.go
@@ -85,9 +85,12 @@
 // snapshot is the state that the control loop publishes for the other goroutines.
 type snapshot struct {
 	catalogue *catalogue.Catalogue
-	// versions and confirmed hold the version of each source and when it was last confirmed.
+	// versions and confirmed hold the version of each source and when it was last confirmed. The catalogue
+	// may not have the latest changes yet.
 	versions  [catalogue.SourceCount]catalogue.Version
 	confirmed [catalogue.SourceCount]time.Time
+	// catalogueConfirmed is when the records of each source in the catalogue were last confirmed.
+	catalogueConfirmed [catalogue.SourceCount]time.Time
 }
 
 // Run runs the host until ctx ends and then stops it gracefully: health checks fail from
--- a/entry/packets.go
+++ b/entry/packets.go
@@ -51,7 +51,7 @@
 func (h *Host) decide(packet forwarding.Packet) forwarding.Decision {
 	h.mu.Lock()
 	current, now := h.snapshot.Load(), h.network.Now()
-	confirmed := current.confirmed[catalogue.Configurations]
+	confirmed := current.catalogueConfirmed[catalogue.Configurations]
 	decision := h.forwarder.Decide(now, current.catalogue, confirmed, packet)
 	if h.Record != nil {
 		h.Record(Event{At: now, Packet: &PacketEvent{Packet: packet, Confirmed: confirmed, Decision: decision}})
@@ -81,8 +81,8 @@
 	pairs := []any{
 		"flow", flowName(packet), "action", decision.Action.String(), "server", server, "tries", decision.FailedAttempts,
 		"kind", packet.Kind.String(), "catalogue", number, "version", current.versions[catalogue.Servers],
-		"age_ms", loggedAge(now, current.confirmed[catalogue.Servers]),
-		"configuration_age_ms", loggedAge(now, current.confirmed[catalogue.Configurations]),
+		"age_ms", loggedAge(now, current.catalogueConfirmed[catalogue.Servers]),
+		"configuration_age_ms", loggedAge(now, current.catalogueConfirmed[catalogue.Configurations]),
 	}
 	switch decision.Reason {
 	case forwarding.NoRoom:
--- a/entry/preview.go
+++ b/entry/preview.go
@@ -93,10 +93,10 @@
 	if state.catalogue != nil {
 		h.record(Event{Load: &LoadEvent{}}) // reading an estimate updates it
 	}
-	preview := h.forwarder.Preview(now, state.catalogue, state.confirmed[catalogue.Configurations], packet)
+	preview := h.forwarder.Preview(now, state.catalogue, state.catalogueConfirmed[catalogue.Configurations], packet)
 	result := FlowPreview{
 		Host: h.Settings.Host, Action: preview.Action.String(), Reason: preview.Reason.String(),
-		AgeMS: loggedAge(now, state.confirmed[catalogue.Servers]), ConfigurationAge: loggedAge(now, state.confirmed[catalogue.Configurations]),
+		AgeMS: loggedAge(now, state.catalogueConfirmed[catalogue.Servers]), ConfigurationAge: loggedAge(now, state.catalogueConfirmed[catalogue.Configurations]),
 		Service: preview.Service, Admitted: preview.Admitted, AdmittedBy: preview.AdmittedBy,
 		Spillover: preview.Spillover, Destinations: preview.Destinations,
 	}
--- a/entry/route_test.go
+++ b/entry/route_test.go
@@ -1,10 +1,13 @@
 package entry_test
 
 import (
+	"context"
 	"encoding/binary"
+	"net/netip"
 	"regexp"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,6 +15,7 @@
 	"github.com/matryer/is"
 
 	"github.com/rattanthread/rattanthread/catalogue"
+	"github.com/rattanthread/rattanthread/entry"
 	"github.com/rattanthread/rattanthread/platform"
 	"github.com/rattanthread/rattanthread/platformstandin"
 )
@@ -57,3 +61,34 @@
 		is.True(o.isRecent(catalogue.Configurations)) // the configuration was confirmed after the flow had been seen
 	})
 }
+
+// TestConfirmationIsThatOfTheCatalogue guards against decisions that take a catalogue for more recent than it is: after a
+// build the next one is delayed, and the updates that arrive meanwhile are confirmed before they are in the catalogue.
+func TestConfirmationIsThatOfTheCatalogue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const buildTime = 10 * time.Millisecond
+		var elapsed atomic.Int64
+		began := time.Now()
+		network := idleNetwork()
+		network.Now = func() time.Time { return time.Now().Add(time.Duration(elapsed.Add(int64(buildTime)))) }
+		route := netip.MustParseAddrPort("198.18.0.1:443")
+		configuration := func(version catalogue.Version, asOf time.Time, routes ...catalogue.Route) catalogue.Update {
+			return catalogue.Update{Source: catalogue.Configurations, Full: true, Version: version, AsOf: asOf, Records: []catalogue.Record{
+				{Name: "main", Changed: version, Configuration: &catalogue.Configuration{Number: uint64(version), Routes: routes}},
+			}}
+		}
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		earlier, later := began.Add(time.Millisecond), began.Add(2*time.Millisecond)
+		inputs := entry.DecisionInputs(ctx, network, configuration(1, earlier), configuration(2, later, catalogue.Route{Name: "feed", Address: route}))
+		current, confirmed := inputs(catalogue.Configurations)
+		is.True(current.Route(route) == nil) // the build is delayed
+		is.Equal(confirmed, earlier)
+
+		time.Sleep(time.Second)
+		current, confirmed = inputs(catalogue.Configurations)
+		is.True(current.Route(route) != nil)
+		is.Equal(confirmed, later)
+	})
+}
