--- a/catalogue/catalogue.go
+++ b/catalogue/catalogue.go
@@ -18,7 +18,7 @@
 
 	routes  map[netip.AddrPort]*Route
 	servers map[Cookie]*Server
-	removed map[Cookie]bool
+	removed map[Cookie]*Server
 	pools   map[fleet.ServiceName]*Pool
 	// byDataCentre holds all servers, including those that get no new flows.
 	byDataCentre map[fleet.DataCentreID][]*Server
@@ -54,10 +54,10 @@
 
 // IsRemoved reports whether the server that a cookie identifies is known to have been
 // removed.
-func (c *Catalogue) IsRemoved(cookie Cookie) bool { return c.removed[cookie] }
+func (c *Catalogue) IsRemoved(cookie Cookie) bool { return c.removed[cookie] != nil }
 
-// Removed returns the cookies of the servers that are known to have been removed.
-func (c *Catalogue) Removed() map[Cookie]bool { return c.removed }
+// Removed returns the last records of the servers that are known to have been removed.
+func (c *Catalogue) Removed() map[Cookie]*Server { return c.removed }
 
 // ServersIn returns the servers of a data centre, including those that get no new flows.
 func (c *Catalogue) ServersIn(id fleet.DataCentreID) []*Server { return c.byDataCentre[id] }
--- a/catalogue/restoration.go
+++ b/catalogue/restoration.go
@@ -87,7 +87,7 @@
 		return false
 	}
 	ended, ok := t.removed[CookieOf(record.Server.ID)]
-	return ok && ended.started == record.Server.Started
+	return ok && ended.server.Started == record.Server.Started
 }
 
 // isNewerAcrossEpochs reports whether the server wrote the tracked record after another one
--- a/catalogue/trackedserver.go
+++ b/catalogue/trackedserver.go
@@ -12,8 +12,8 @@
 
 // removedServer is a server whose record has expired.
 type removedServer struct {
-	at      time.Time
-	started int64
+	at     time.Time
+	server *Server
 }
 
 func (t *Tracker) applyServers(now time.Time, update Update, restored bool) bool {
@@ -151,7 +151,7 @@
 			continue
 		}
 		delete(t.servers, name)
-		t.removed[CookieOf(tracked.server.ID)] = removedServer{now, tracked.server.Started}
+		t.removed[CookieOf(tracked.server.ID)] = removedServer{now, tracked.server}
 		t.addServerChange(ServerEnded, tracked.server, 0)
 		changed = true
 	}
--- a/catalogue/tracker.go
+++ b/catalogue/tracker.go
@@ -292,7 +292,7 @@
 		Number:            t.number,
 		Configuration:     t.configuration,
 		routes:            make(map[netip.AddrPort]*Route),
-		removed:           make(map[Cookie]bool, len(t.removed)),
+		removed:           make(map[Cookie]*Server, len(t.removed)),
 		pools:             make(map[fleet.ServiceName]*Pool),
 		byDataCentre:      make(map[fleet.DataCentreID][]*Server),
 		serverCount:       len(t.servers),
@@ -329,8 +329,12 @@
 			next.addToPool(server)
 		}
 	}
-	for cookie := range t.removed {
-		next.removed[cookie] = next.servers[cookie] == nil
+	for cookie, removed := range t.removed {
+		if next.servers[cookie] == nil {
+			server := *removed.server
+			server.Cookie = cookie
+			next.removed[cookie] = &server
+		}
 	}
 	t.current = next
 }
--- a/entry/age_test.go
+++ b/entry/age_test.go
@@ -399,6 +399,6 @@
 		testTime.Add(-catalogue.MaxAge): forwarding.RouteUnknown,
 	} {
 		var forwarder forwarding.Forwarder
-		is.Equal(forwarder.Decide(testTime, current, confirmedAt, packet).Reason, want)
+		is.Equal(forwarder.Decide(testTime, current, forwarding.Confirmation{Configuration: confirmedAt}, packet).Reason, want)
 	}
 }
--- a/entry/control.go
+++ b/entry/control.go
@@ -163,7 +163,7 @@
 		c.logChanges(before.Ready())
 	}
 	if changed {
-		host.resetFlowsOfRemovedServers(before, next.catalogue)
+		host.resetFlowsOfRemovedServers(before, next)
 	}
 }
 
@@ -193,19 +193,20 @@
 }
 
 // resetFlowsOfRemovedServers resets the flows of the servers that were removed between two
-// catalogues.
-func (h *Host) resetFlowsOfRemovedServers(before, after *catalogue.Catalogue) {
+// catalogues, the later of which is that of a snapshot.
+func (h *Host) resetFlowsOfRemovedServers(before *catalogue.Catalogue, after *snapshot) {
 	if before == nil {
 		return
 	}
-	for cookie, removed := range after.Removed() {
+	confirmed := after.catalogueConfirmed[catalogue.Servers]
+	for cookie := range after.catalogue.Removed() {
 		server := before.Server(cookie)
-		if !removed || server == nil {
+		if server == nil {
 			continue
 		}
 		h.mu.Lock()
-		flows := h.forwarder.RemoveServer(h.network.Now(), cookie)
-		h.record(Event{RemovedServer: cookie})
+		flows := h.forwarder.RemoveServer(h.network.Now(), cookie, confirmed)
+		h.record(Event{RemovedServer: cookie, Confirmed: confirmed})
 		h.mu.Unlock()
 		h.resetFlows(flows, server.ID, forwarding.ServerGone)
 	}
--- a/entry/event.go
+++ b/entry/event.go
@@ -24,14 +24,15 @@
 	Packet    *PacketEvent
 	Probe     *ProbeEvent
 	Load      *LoadEvent
-	// RemovedServer is a removed server whose flows were reset.
+	// RemovedServer is a removed server whose flows were reset, and Confirmed when the servers were confirmed.
 	RemovedServer catalogue.Cookie
+	Confirmed     time.Time
 }
 
 // PacketEvent is a packet and the decision on it.
 type PacketEvent struct {
 	Packet    forwarding.Packet
-	Confirmed time.Time
+	Confirmed forwarding.Confirmation
 	Decision  forwarding.Decision
 }
 
--- a/entry/host.go
+++ b/entry/host.go
@@ -93,6 +93,11 @@
 	catalogueConfirmed [catalogue.SourceCount]time.Time
 }
 
+// confirmation returns the times of confirmation that decisions depend on.
+func (s *snapshot) confirmation() forwarding.Confirmation {
+	return forwarding.Confirmation{Configuration: s.catalogueConfirmed[catalogue.Configurations], Servers: s.catalogueConfirmed[catalogue.Servers]}
+}
+
 // Run runs the host until ctx ends and then stops it gracefully: health checks fail from
 // then on, and packets are forwarded until the fabric sends them to other hosts.
 func (h *Host) Run(ctx context.Context) error {
--- a/entry/packets.go
+++ b/entry/packets.go
@@ -51,7 +51,7 @@
 func (h *Host) decide(packet forwarding.Packet) forwarding.Decision {
 	h.mu.Lock()
 	current, now := h.snapshot.Load(), h.network.Now()
-	confirmed := current.catalogueConfirmed[catalogue.Configurations]
+	confirmed := current.confirmation()
 	decision := h.forwarder.Decide(now, current.catalogue, confirmed, packet)
 	if h.Record != nil {
 		h.Record(Event{At: now, Packet: &PacketEvent{Packet: packet, Confirmed: confirmed, Decision: decision}})
@@ -60,7 +60,7 @@
 	h.metrics.countDecision(decision)
 	h.packetCount++
 	if h.packetCount%sampleEvery == 0 {
-		h.metrics.observeDecision(now, h.network.Now(), confirmed)
+		h.metrics.observeDecision(now, h.network.Now(), confirmed.Configuration)
 	}
 	if decision.Reason != forwarding.ByCookie {
 		h.logDecision(packet, decision, current, now)
@@ -87,7 +87,7 @@
 	switch decision.Reason {
 	case forwarding.NoRoom:
 		pairs = append(pairs, "data_centre", decision.AdmittedBy)
-	case forwarding.NoRoute, forwarding.RouteUnknown:
+	case forwarding.NoRoute, forwarding.RouteUnknown, forwarding.ServerGone:
 		pairs = append(pairs, "configuration", current.catalogue.Configuration.Number, "flow_age_ms", loggedAge(now, decision.OpenSince))
 	}
 	h.log.Line(decision.Reason.String(), pairs...)
--- a/entry/preview.go
+++ b/entry/preview.go
@@ -93,7 +93,7 @@
 	if state.catalogue != nil {
 		h.record(Event{Load: &LoadEvent{}}) // reading an estimate updates it
 	}
-	preview := h.forwarder.Preview(now, state.catalogue, state.catalogueConfirmed[catalogue.Configurations], packet)
+	preview := h.forwarder.Preview(now, state.catalogue, state.confirmation(), packet)
 	result := FlowPreview{
 		Host: h.Settings.Host, Action: preview.Action.String(), Reason: preview.Reason.String(),
 		AgeMS: loggedAge(now, state.catalogueConfirmed[catalogue.Servers]), ConfigurationAge: loggedAge(now, state.catalogueConfirmed[catalogue.Configurations]),
--- a/forwarding/admission_test.go
+++ b/forwarding/admission_test.go
@@ -40,7 +40,7 @@
 	}
 	f.Demand = func(time.Time, fleet.ServiceName) []load.ServiceDemand { return demand }
 	for at := -time.Minute; at < 0; at += 100 * time.Millisecond {
-		f.Decide(start.Add(at), current, start.Add(at), openingFrom(1, orders))
+		f.Decide(start.Add(at), current, confirmedAt(start.Add(at)), openingFrom(1, orders))
 	}
 	return f
 }
@@ -58,17 +58,17 @@
 	refused := 0
 	for port := range uint16(1000) {
 		packet := openingFrom(2000+port, feed)
-		decision := f.Decide(start, current, start, packet)
+		decision := f.Decide(start, current, confirmedAt(start), packet)
 		if decision.Reason == forwarding.NoRoom {
 			refused++
 			is.Equal(decision, forwarding.Decision{Action: forwarding.Refuse, Reason: forwarding.NoRoom, AdmittedBy: "a"})
-			is.Equal(f.Decide(start, current, start, packet).Reason, forwarding.NoRoom) // a duplicate
+			is.Equal(f.Decide(start, current, confirmedAt(start), packet).Reason, forwarding.NoRoom) // a duplicate
 		}
-		is.Equal(f.Decide(start, current, start, openingFrom(2000+port, orders)).Action, forwarding.Forward)
+		is.Equal(f.Decide(start, current, confirmedAt(start), openingFrom(2000+port, orders)).Action, forwarding.Forward)
 		packet.Ack = 1 // a retransmission, whose first copy may have gone through another host
-		is.Equal(f.Decide(start, current, start, packet).Action, forwarding.Forward)
+		is.Equal(f.Decide(start, current, confirmedAt(start), packet).Action, forwarding.Forward)
 		packet.Ack = 0 // a late duplicate of the first copy, after the flow was forwarded
-		is.Equal(f.Decide(start, current, start, packet).Action, forwarding.Forward)
+		is.Equal(f.Decide(start, current, confirmedAt(start), packet).Action, forwarding.Forward)
 	}
 	is.True(refused > 900 && refused < 980) // 19 of 20
 	is.Equal(f.Admission.Changes()[0].Priority, catalogue.Priority(2))
@@ -84,14 +84,14 @@
 	for port := range uint16(100) {
 		packet := openingFrom(2000+port, feed)
 		packet.Ack = 1
-		is.Equal(f.Decide(start, current, start, packet).Action, forwarding.Forward)
+		is.Equal(f.Decide(start, current, confirmedAt(start), packet).Action, forwarding.Forward)
 	}
 	later := start.Add(10 * time.Second) // one generation after start
 	for at := start; at.Before(later); at = at.Add(100 * time.Millisecond) {
-		f.Decide(at, current, at, openingFrom(1, orders))
+		f.Decide(at, current, confirmedAt(at), openingFrom(1, orders))
 	}
 	for port := range uint16(100) {
-		is.Equal(f.Decide(later, current, later, openingFrom(2000+port, feed)).Action, forwarding.Forward)
+		is.Equal(f.Decide(later, current, confirmedAt(later), openingFrom(2000+port, feed)).Action, forwarding.Forward)
 	}
 }
 
@@ -102,7 +102,7 @@
 	f := newLoadedForwarder(current, 40)
 	var store fakeStore
 	none := newCatalogue(store.configuration("bench"), store.servers(newServer("i-01", "sheets")))
-	is.Equal(f.Decide(start, none, start, openingPacket()).Reason, forwarding.NoServer)
+	is.Equal(f.Decide(start, none, confirmedAt(start), openingPacket()).Reason, forwarding.NoServer)
 }
 
 // TestDecisionsWithoutShortage guards against decisions that differ where there is capacity.
@@ -115,7 +115,7 @@
 		now := start.Add(time.Duration(i) * time.Millisecond)
 		packet := openingFrom(uint16(2000+i%3000), feed)
 		packet.Ack = uint32(i / 3000)
-		is.Equal(loaded.Decide(now, current, now, packet), plain.Decide(now, current, now, packet))
+		is.Equal(loaded.Decide(now, current, confirmedAt(now), packet), plain.Decide(now, current, confirmedAt(now), packet))
 	}
 }
 
@@ -130,10 +130,10 @@
 		seen = append(seen[:0], servers...)
 		return load.Utilisation{}
 	}
-	f.Decide(start, current, start, openingPacket())
+	f.Decide(start, current, confirmedAt(start), openingPacket())
 	is.Equal(len(seen), 2)
 	f.RecordProbe(start, current, forwarding.Probe{Server: catalogue.CookieOf("i-01"), Began: start, Evidence: placement.Refused})
-	f.Decide(start.Add(time.Second), current, start, openingPacket())
+	f.Decide(start.Add(time.Second), current, confirmedAt(start), openingPacket())
 	is.Equal(len(seen), 1)
 	is.Equal(seen[0].ID, fleet.ServerID("i-02"))
 }
@@ -144,13 +144,13 @@
 	current := newPriorityCatalogue()
 	f := newLoadedForwarder(current, 40)
 	packet := openingFrom(2000, feed)
-	for port := uint16(2001); port < 2100 && f.Decide(start, current, start, packet).Reason != forwarding.NoRoom; port++ {
+	for port := uint16(2001); port < 2100 && f.Decide(start, current, confirmedAt(start), packet).Reason != forwarding.NoRoom; port++ {
 		packet = openingFrom(port, feed)
 	}
-	is.Equal(f.Decide(start, current, start, packet).Reason, forwarding.NoRoom)
+	is.Equal(f.Decide(start, current, confirmedAt(start), packet).Reason, forwarding.NoRoom)
 	now := start
 	is.Equal(testing.AllocsPerRun(1000, func() {
 		now = now.Add(100 * time.Millisecond) // an update is due
-		f.Decide(now, current, now, packet)
+		f.Decide(now, current, confirmedAt(now), packet)
 	}), 0.0)
 }
--- a/forwarding/bench_test.go
+++ b/forwarding/bench_test.go
@@ -23,11 +23,11 @@
 	var store fakeStore
 	current := newCatalogue(store.configuration("bench"), store.servers(newServers()...))
 	forwarder := newForwarder()
-	packet := segmentPacket(forwarder.Decide(start, current, start, openingPacket()))
+	packet := segmentPacket(forwarder.Decide(start, current, confirmedAt(start), openingPacket()))
 	b.ReportAllocs()
 	for b.Loop() {
 		packet.Seq++
-		forwarder.Decide(start, current, start, packet)
+		forwarder.Decide(start, current, confirmedAt(start), packet)
 	}
 }
 
@@ -38,7 +38,7 @@
 	packet := openingPacket()
 	b.ReportAllocs()
 	for b.Loop() {
-		forwarder.Decide(start, current, start, packet)
+		forwarder.Decide(start, current, confirmedAt(start), packet)
 	}
 }
 
--- a/forwarding/datacentres_test.go
+++ b/forwarding/datacentres_test.go
@@ -245,7 +245,7 @@
 	d.port++
 	source := netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(d.port >> 16), 7}), uint16(d.port))
 	packet := forwarding.Packet{Source: source, Destination: route, Kind: forwarding.Opening}
-	send := func() forwarding.Decision { return host.Decide(d.now, d.current, d.now, packet) }
+	send := func() forwarding.Decision { return host.Decide(d.now, d.current, confirmedAt(d.now), packet) }
 	again := func() {
 		if number < modelAttempts {
 			d.after(time.Duration(number)*modelRetryDelay, func() { d.attempt(dataCentre, route, began, number+1) })
--- a/forwarding/elsewhere_test.go
+++ b/forwarding/elsewhere_test.go
@@ -68,17 +68,17 @@
 			refused := 0
 			for port := range uint16(1000) {
 				packet := openingFrom(2000+port, feed)
-				decision := f.Decide(start, current, start, packet)
+				decision := f.Decide(start, current, confirmedAt(start), packet)
 				if decision.Reason == forwarding.NoRoom {
 					refused++
 					is.Equal(decision, forwarding.Decision{Action: forwarding.Refuse, Reason: forwarding.NoRoom, AdmittedBy: test.servers})
-					is.Equal(f.Decide(start, current, start, packet).Reason, forwarding.NoRoom) // a duplicate
+					is.Equal(f.Decide(start, current, confirmedAt(start), packet).Reason, forwarding.NoRoom) // a duplicate
 				}
-				is.Equal(f.Decide(start, current, start, openingFrom(2000+port, orders)).Action, forwarding.Forward)
+				is.Equal(f.Decide(start, current, confirmedAt(start), openingFrom(2000+port, orders)).Action, forwarding.Forward)
 				packet.Ack = 1 // a retransmission, whose first copy may have gone through another host
-				is.Equal(f.Decide(start, current, start, packet).Action, forwarding.Forward)
+				is.Equal(f.Decide(start, current, confirmedAt(start), packet).Action, forwarding.Forward)
 				packet.Ack = 0 // a late duplicate of the first copy, after the flow was forwarded
-				is.Equal(f.Decide(start, current, start, packet).Action, forwarding.Forward)
+				is.Equal(f.Decide(start, current, confirmedAt(start), packet).Action, forwarding.Forward)
 			}
 			is.True(refused >= test.least)
 			is.True(refused <= test.most)
@@ -100,8 +100,8 @@
 	admitted := 0
 	for port := range uint16(2000) {
 		packet := openingFrom(2000+port, feed)
-		decision := here.Decide(start, current, start, packet)
-		is.Equal(decision.Reason, there.Decide(start, current, start, packet).Reason)
+		decision := here.Decide(start, current, confirmedAt(start), packet)
+		is.Equal(decision.Reason, there.Decide(start, current, confirmedAt(start), packet).Reason)
 		if decision.Action == forwarding.Forward {
 			admitted++
 		}
@@ -121,7 +121,7 @@
 			at, refused := start.Add(10*time.Second), 0
 			for port := range uint16(200) {
 				at = at.Add(10 * time.Millisecond)
-				if f.Decide(at, current, at, openingFrom(2000+port, feed)).Reason == forwarding.NoRoom {
+				if f.Decide(at, current, confirmedAt(at), openingFrom(2000+port, feed)).Reason == forwarding.NoRoom {
 					refused++
 				}
 			}
@@ -148,7 +148,7 @@
 		return load.Utilisation{}
 	}
 	for at := time.Duration(0); at < 5*time.Second; at += 100 * time.Millisecond {
-		is.Equal(f.Decide(start.Add(at), current, start.Add(at), openingFrom(1, orders)).Action, forwarding.Forward)
+		is.Equal(f.Decide(start.Add(at), current, confirmedAt(start.Add(at)), openingFrom(1, orders)).Action, forwarding.Forward)
 	}
 	is.Equal(f.Admission.Fraction("bench", 2), 1.0)
 }
@@ -164,8 +164,8 @@
 		current := newRemoteCatalogue(dataCentre)
 		for port := range uint16(100) {
 			packet := openingFrom(2000+port, feed)
-			is.Equal(f.Preview(start, current, start, packet).Reason, forwarding.Placed)
-			is.Equal(f.Decide(start, current, start, packet).Reason, forwarding.Placed)
+			is.Equal(f.Preview(start, current, confirmedAt(start), packet).Reason, forwarding.Placed)
+			is.Equal(f.Decide(start, current, confirmedAt(start), packet).Reason, forwarding.Placed)
 		}
 	}
 	var f forwarding.Forwarder
@@ -183,11 +183,11 @@
 	f.Demand = func(time.Time, fleet.ServiceName) []load.ServiceDemand { return nil }
 	is.NoErr(f.Chooser.Load.ReceiveElsewhere(start, "b", load.DataCentreLoads{Admitted: []load.AdmittedFraction{{Service: "bench", Priority: 2, Fraction: 13}}}))
 	packet := openingFrom(2000, feed)
-	for port := uint16(2001); port < 2100 && f.Decide(start, current, start, packet).Reason != forwarding.NoRoom; port++ {
+	for port := uint16(2001); port < 2100 && f.Decide(start, current, confirmedAt(start), packet).Reason != forwarding.NoRoom; port++ {
 		packet = openingFrom(port, feed)
 	}
-	is.Equal(f.Decide(start, current, start, packet).Reason, forwarding.NoRoom)
-	is.Equal(testing.AllocsPerRun(1000, func() { f.Decide(start, current, start, packet) }), 0.0)
+	is.Equal(f.Decide(start, current, confirmedAt(start), packet).Reason, forwarding.NoRoom)
+	is.Equal(testing.AllocsPerRun(1000, func() { f.Decide(start, current, confirmedAt(start), packet) }), 0.0)
 }
 
 // TestReportOfFractions guards against reports that leave out the fractions, that hold those of services
@@ -213,7 +213,7 @@
 	for at := start; at.Before(start.Add(10 * time.Second)); at = at.Add(200 * time.Millisecond) {
 		for port := range uint16(20) {
 			packet := openingFrom(2000+port, feed)
-			is.Equal(f.Decide(at, current, at, packet), untouched.Decide(at, current, at, packet))
+			is.Equal(f.Decide(at, current, confirmedAt(at), packet), untouched.Decide(at, current, confirmedAt(at), packet))
 		}
 		f.DataCentreLoads(at.Add(150*time.Millisecond), current)
 	}
@@ -299,10 +299,10 @@
 		}
 		f.Demand = func(time.Time, fleet.ServiceName) []load.ServiceDemand { return nil }
 		f.AdmittedBy = admitBy("b", 0.05)
-		first := f.Decide(start, current, start, openingFrom(2000+2*port, feed))
+		first := f.Decide(start, current, confirmedAt(start), openingFrom(2000+2*port, feed))
 		is.Equal(first.Reason, forwarding.Placed)
 		at := start.Add(700 * time.Millisecond)
-		second := f.Decide(at, current, at, openingFrom(2001+2*port, feed))
+		second := f.Decide(at, current, confirmedAt(at), openingFrom(2001+2*port, feed))
 		if second.Reason != forwarding.Placed {
 			retried++
 		}
--- a/forwarding/flowtable.go
+++ b/forwarding/flowtable.go
@@ -95,7 +95,9 @@
 
 type flowState struct {
 	// opening is set until a further packet confirms that the flow is open.
-	opening  bool
+	opening bool
+	// ended means that the flow was reset, as its server had ended.
+	ended    bool
 	server   catalogue.Cookie
 	seq, ack uint32
 	// received is the sequence number up to which the server is known to have received
@@ -180,7 +182,7 @@
 	}
 	var record PacketRecord
 	switch {
-	case before.server == 0:
+	case before.server == 0 || before.ended:
 		next.received, next.openSince = packet.Seq, now
 		f.removeAttempt(key)
 	case before.opening || before.server != server:
@@ -269,29 +271,40 @@
 	}
 }
 
-// RemoveServer removes the flows of a server and returns a packet of each that may be open. A flow whose
-// opening was not confirmed in maxOpeningTime is either not open, or open on the server on which another
-// host has placed a retransmission: a host that was paused forwards the earlier copy late.
-func (f *FlowTable) RemoveServer(now time.Time, server catalogue.Cookie) []Packet {
-	var removed []Packet
+// EndFlows ends the flows of a server that had ended at a time and returns a packet of each that may be open. A flow
+// whose opening was not confirmed in maxOpeningTime is either not open, or open on the server on which another
+// host has placed a retransmission: a host that was paused forwards the earlier copy late. A flow that was seen after
+// the time may be of a later start of the server, and stays.
+func (f *FlowTable) EndFlows(now time.Time, server catalogue.Cookie, endedAt time.Time) []Packet {
+	var ended []Packet
 	for _, flows := range []map[flowKey]flowState{f.current, f.previous} {
 		for key, state := range flows {
-			if state.server != server {
+			if state.server != server || state.ended || state.seenSince().After(endedAt) {
 				continue
 			}
 			if !state.opening || now.Sub(state.lastSent) <= maxOpeningTime {
-				removed = append(removed, key.lastPacket(state))
+				ended = append(ended, key.lastPacket(state))
 			}
-			delete(flows, key)
+			state.ended, state.inFlight = true, InFlight{}
+			flows[key] = state
 		}
 	}
-	return removed
+	return ended
+}
+
+// seenSince returns when the first packet of the flow, or the last opening packet of one that is not known to be open, was
+// seen.
+func (s *flowState) seenSince() time.Time {
+	if s.opening {
+		return s.lastSent
+	}
+	return s.openSince
 }
 
 // Contains reports whether a packet of the flow was forwarded recently.
 func (f *FlowTable) Contains(packet *Packet) bool {
-	_, ok := f.peek(keyOf(packet))
-	return ok
+	state, ok := f.peek(keyOf(packet))
+	return ok && !state.ended
 }
 
 // OpenSince returns when the first packet of the open flow was seen. It is zero if none was seen
--- a/forwarding/forwarder.go
+++ b/forwarding/forwarder.go
@@ -106,8 +106,8 @@
 	Unresponsive fleet.ServerID
 	// Probe is a server that may have failed and should be probed now, or nil.
 	Probe *catalogue.Server
-	// OpenSince is when the host first saw the open flow, if its route is not known; zero means that it has not
-	// seen the flow before.
+	// OpenSince is when the host first saw the open flow, if its route is not known or its server was removed;
+	// zero means that it has not seen the flow before.
 	OpenSince time.Time
 	// LoadChanged means that the server became busy or stopped being so.
 	LoadChanged, Busy bool
@@ -160,9 +160,19 @@
 	}
 }
 
-// Decide decides how a packet is handled, based on the host's catalogue. The
-// configuration was last confirmed at the given time; zero means that it was not.
-func (f *Forwarder) Decide(now time.Time, current *catalogue.Catalogue, confirmed time.Time, packet Packet) Decision {
+// Confirmation holds the times at which the state in a catalogue was last confirmed. Zero means that it was not.
+type Confirmation struct {
+	Configuration, Servers time.Time
+}
+
+// confirmedSince reports whether a state was confirmed for a time at or after another, which is zero if it is not known.
+func confirmedSince(now, confirmed, since time.Time) bool {
+	_, known := catalogue.AgeAt(now, confirmed)
+	return known && !since.IsZero() && !since.After(confirmed)
+}
+
+// Decide decides how a packet is handled, based on the host's catalogue.
+func (f *Forwarder) Decide(now time.Time, current *catalogue.Catalogue, confirmed Confirmation, packet Packet) Decision {
 	if packet.Kind == Foreign {
 		return Decision{Reason: NotFromCaller}
 	}
@@ -172,13 +182,13 @@
 	route := current.Route(packet.Destination)
 	switch {
 	case packet.Kind == Opening && route == nil:
-		return f.decideOpeningWithoutRoute(now, confirmed)
+		return f.decideOpeningWithoutRoute(now, confirmed.Configuration)
 	case packet.Kind == Opening:
 		return f.decideOpening(now, current, route, packet)
 	case route == nil:
 		return f.decideSegmentWithoutRoute(now, current, confirmed, packet)
 	}
-	return f.decideSegment(now, current, packet)
+	return f.decideSegment(now, current, confirmed, packet)
 }
 
 // decideOpeningWithoutRoute refuses a new flow without a route if the configuration is recent.
@@ -196,12 +206,12 @@
 // decideSegmentWithoutRoute refuses a packet of an open flow if the configuration was confirmed after the flow had
 // been seen: its route was then removed. Otherwise the flow may have been opened through another host with a later
 // configuration, and is forwarded by its cookie.
-func (f *Forwarder) decideSegmentWithoutRoute(now time.Time, current *catalogue.Catalogue, confirmed time.Time, packet Packet) Decision {
+func (f *Forwarder) decideSegmentWithoutRoute(now time.Time, current *catalogue.Catalogue, confirmed Confirmation, packet Packet) Decision {
 	openSince := f.flows.OpenSince(&packet)
 	decision := Decision{Action: Refuse, Reason: NoRoute}
-	if _, known := catalogue.AgeAt(now, confirmed); packet.Kind != Reset && known && !openSince.IsZero() && !openSince.After(confirmed) {
+	if packet.Kind != Reset && confirmedSince(now, confirmed.Configuration, openSince) {
 		f.recordEnd(now, current, packet.Destination, f.flows.TakeRequest(&packet))
-	} else if decision = f.decideSegment(now, current, packet); decision.Action != Refuse {
+	} else if decision = f.decideSegment(now, current, confirmed, packet); decision.Action != Refuse {
 		decision.Reason = RouteUnknown
 	}
 	decision.OpenSince = openSince
@@ -339,11 +349,11 @@
 }
 
 // decideSegment forwards a packet of an open flow to the flow's server.
-func (f *Forwarder) decideSegment(now time.Time, current *catalogue.Catalogue, packet Packet) Decision {
+func (f *Forwarder) decideSegment(now time.Time, current *catalogue.Catalogue, confirmed Confirmation, packet Packet) Decision {
 	cookie := packet.Cookie.MaskFor(packet.Destination)
 	server := current.Server(cookie)
 	if server == nil {
-		return decideWithoutServer(current, cookie, packet)
+		return f.decideWithoutServer(now, current, confirmed.Servers, cookie, packet)
 	}
 	if f.Chooser.Reachability.FlowsEnded(cookie) && packet.Kind != Reset {
 		f.recordEnd(now, current, packet.Destination, f.flows.Remove(&packet))
@@ -452,7 +462,7 @@
 	}
 	f.Chooser.Load.Forget(probe.Server)
 	if server == nil || !f.Chooser.Outages.RecordUnreachable(now, server.DataCentre) {
-		return f.flows.RemoveServer(now, probe.Server), nil
+		return f.flows.EndFlows(now, probe.Server, now), nil
 	}
 	var candidates []*catalogue.Server
 	for _, other := range current.Pool(server.Service).ByDataCentre[server.DataCentre] {
@@ -460,7 +470,7 @@
 			candidates = append(candidates, other)
 		}
 	}
-	return f.flows.RemoveServer(now, probe.Server), candidates
+	return f.flows.EndFlows(now, probe.Server, now), candidates
 }
 
 // CatalogueChanged discards what was learned of earlier starts of the servers that have started
@@ -476,21 +486,33 @@
 	}
 }
 
-// RemoveServer discards the state of a removed server. It returns a packet of
+// RemoveServer discards the state of a server whose record did not exist at a time. It returns a packet of
 // each flow to reset.
-func (f *Forwarder) RemoveServer(now time.Time, server catalogue.Cookie) []Packet {
+func (f *Forwarder) RemoveServer(now time.Time, server catalogue.Cookie, confirmed time.Time) []Packet {
 	f.Chooser.Reachability.Forget(server)
 	f.Chooser.Loads.Forget(server)
 	f.Chooser.Load.Forget(server)
 	f.Chooser.Warmup.Forget(server)
-	return f.flows.RemoveServer(now, server)
+	return f.flows.EndFlows(now, server, confirmed)
 }
 
-// decideWithoutServer refuses a packet whose server was removed. An unknown cookie
-// does not show that its server was removed, so its packet is dropped.
-func decideWithoutServer(current *catalogue.Catalogue, cookie catalogue.Cookie, packet Packet) Decision {
-	if current.IsRemoved(cookie) && packet.Kind != Reset {
-		return Decision{Action: Refuse, Reason: ServerGone}
+// decideWithoutServer refuses a packet whose server was removed, if the servers were confirmed after the flow had been
+// seen. Otherwise the server may have started again under its id since, and gets the packet at its last known address. An
+// unknown cookie does not show that its server was removed, so its packet is dropped.
+func (f *Forwarder) decideWithoutServer(now time.Time, current *catalogue.Catalogue, confirmed time.Time, cookie catalogue.Cookie, packet Packet) Decision {
+	server := current.Removed()[cookie]
+	if server == nil {
+		return Decision{Reason: ServerUnknown}
 	}
-	return Decision{Reason: ServerUnknown}
+	decision := Decision{Action: Forward, Reason: ServerGone, Server: server, Cookie: packet.Cookie, OpenSince: f.flows.OpenSince(&packet)}
+	switch {
+	case packet.Kind == Reset:
+		f.recordEnd(now, current, packet.Destination, f.flows.Remove(&packet))
+	case confirmedSince(now, confirmed, decision.OpenSince):
+		decision.Action, decision.Cookie = Refuse, 0
+		f.recordEnd(now, current, packet.Destination, f.flows.TakeRequest(&packet))
+	default:
+		f.recordEnd(now, current, packet.Destination, f.flows.RecordPacket(now, &packet, cookie).Ended)
+	}
+	return decision
 }
--- a/forwarding/forwarder_test.go
+++ b/forwarding/forwarder_test.go
@@ -51,6 +51,11 @@
 	return catalogue.Server{ID: id, Service: service, Address: netip.MustParseAddrPort("10.0.0.9:8080"), DataCentre: "a", Tag: 1}
 }
 
+// confirmedAt returns the confirmation of all sources at a time.
+func confirmedAt(at time.Time) forwarding.Confirmation {
+	return forwarding.Confirmation{Configuration: at, Servers: at}
+}
+
 func newForwarder() *forwarding.Forwarder {
 	return &forwarding.Forwarder{Chooser: placement.Chooser{DataCentre: "a"}}
 }
@@ -83,11 +88,11 @@
 	is := is.New(t)
 	var store fakeStore
 	both := store.servers(newServer("i-01", "bench"), newServer("i-02", "sheets"))
-	placed := newForwarder().Decide(start, newCatalogue(store.configuration("bench"), both), start, openingPacket())
+	placed := newForwarder().Decide(start, newCatalogue(store.configuration("bench"), both), confirmedAt(start), openingPacket())
 	is.Equal(placed.Server.ID, fleet.ServerID("i-01"))
 
 	moved := newCatalogue(both, store.configuration("sheets"))
-	got := newForwarder().Decide(start, moved, start, segmentPacket(placed))
+	got := newForwarder().Decide(start, moved, confirmedAt(start), segmentPacket(placed))
 	is.Equal(got.Action, forwarding.Forward) // by a host without the earlier configuration
 	is.Equal(got.Server.ID, fleet.ServerID("i-01"))
 }
@@ -97,7 +102,7 @@
 	var store fakeStore
 	current := newCatalogue(store.configuration("bench"), store.servers(newServer("i-01", "bench")))
 	packet := segmentPacket(forwarding.Decision{Cookie: catalogue.CookieOf("i-01").MaskFor(netip.MustParseAddrPort("198.18.0.2:443"))})
-	is.Equal(newForwarder().Decide(start, current, start, packet), forwarding.Decision{Reason: forwarding.ServerUnknown})
+	is.Equal(newForwarder().Decide(start, current, confirmedAt(start), packet), forwarding.Decision{Reason: forwarding.ServerUnknown})
 }
 
 func TestDecide(t *testing.T) {
@@ -149,7 +154,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
-			got := newForwarder().Decide(start, test.current, start.Add(-test.age), test.packet)
+			got := newForwarder().Decide(start, test.current, confirmedAt(start.Add(-test.age)), test.packet)
 			is.Equal(got.Action, test.action)
 			is.Equal(got.Reason, test.reason)
 		})
@@ -161,12 +166,12 @@
 	var store fakeStore
 	forwarder := newForwarder()
 	before := newCatalogue(store.configuration("bench"), store.servers(newServer("i-01", "bench")))
-	placed := forwarder.Decide(start, before, start, openingPacket())
+	placed := forwarder.Decide(start, before, confirmedAt(start), openingPacket())
 	packet := segmentPacket(placed)
 	packet.Ack = 77
-	forwarder.Decide(start, before, start, packet)
+	forwarder.Decide(start, before, confirmedAt(start), packet)
 
-	idle := forwarder.RemoveServer(start, placed.Server.Cookie)
+	idle := forwarder.RemoveServer(start, placed.Server.Cookie, start)
 	is.Equal(len(idle), 1) // reset at once, before the next request is sent on the flow
 	is.Equal(idle[0].Source, caller)
 	is.Equal(idle[0].Destination, feed)
@@ -176,7 +181,9 @@
 	for _, update := range []catalogue.Update{store.configuration("bench"), store.servers(newServer("i-01", "bench")), store.servers(newServer("i-02", "bench"))} {
 		tracker.Apply(start, update)
 	}
-	is.Equal(forwarder.Decide(start, tracker.Current(), start, packet).Reason, forwarding.ServerGone)
+	gone := forwarder.Decide(start, tracker.Current(), confirmedAt(start), packet)
+	is.Equal(gone.Reason, forwarding.ServerGone)
+	is.Equal(gone.Action, forwarding.Refuse)
 }
 
 // TestLateOpeningIsNotReset guards against the reset of an open flow by a host that was paused: it forwarded
@@ -187,13 +194,13 @@
 	current := newCatalogue(store.configuration("bench"), store.servers(newServer("i-01", "bench")))
 	for after, resets := range map[time.Duration]int{time.Second: 1, 1500 * time.Millisecond: 0} {
 		forwarder := newForwarder()
-		placed := forwarder.Decide(start, current, start, openingPacket())
-		is.Equal(len(forwarder.RemoveServer(start.Add(after), placed.Server.Cookie)), resets)
+		placed := forwarder.Decide(start, current, confirmedAt(start), openingPacket())
+		is.Equal(len(forwarder.RemoveServer(start.Add(after), placed.Server.Cookie, start)), resets)
 	}
 	forwarder := newForwarder()
-	placed := forwarder.Decide(start, current, start, openingPacket())
-	forwarder.Decide(start, current, start, segmentPacket(placed)) // confirms the opening
-	is.Equal(len(forwarder.RemoveServer(start.Add(5*time.Second), placed.Server.Cookie)), 1)
+	placed := forwarder.Decide(start, current, confirmedAt(start), openingPacket())
+	forwarder.Decide(start, current, confirmedAt(start), segmentPacket(placed)) // confirms the opening
+	is.Equal(len(forwarder.RemoveServer(start.Add(5*time.Second), placed.Server.Cookie, start)), 1)
 }
 
 func TestUnreachableServerLosesItsFlows(t *testing.T) {
@@ -201,17 +208,17 @@
 	var store fakeStore
 	forwarder := newForwarder()
 	current := newCatalogue(store.configuration("bench"), store.servers(newServer("i-01", "bench"), newServer("i-02", "bench")))
-	placed := forwarder.Decide(start, current, start, openingPacket())
+	placed := forwarder.Decide(start, current, confirmedAt(start), openingPacket())
 	packet := segmentPacket(placed)
-	is.True(forwarder.Decide(start, current, start, packet).Probe == nil)
-	repeated := forwarder.Decide(start.Add(200*time.Millisecond), current, start, packet)
+	is.True(forwarder.Decide(start, current, confirmedAt(start), packet).Probe == nil)
+	repeated := forwarder.Decide(start.Add(200*time.Millisecond), current, confirmedAt(start), packet)
 	is.Equal(repeated.Action, forwarding.Forward) // a retransmission alone resets no flow
 	is.Equal(repeated.Probe, placed.Server)
 
 	reset, _ := forwarder.RecordProbe(start, current, forwarding.Probe{Server: placed.Server.Cookie, Began: start, Evidence: placement.Silent})
 	is.Equal(len(reset), 1)
-	is.Equal(forwarder.Decide(start.Add(time.Second), current, start, packet).Reason, forwarding.ServerUnreachable)
-	is.True(forwarder.Decide(start.Add(time.Second), current, start, openingPacket()).Server != placed.Server)
+	is.Equal(forwarder.Decide(start.Add(time.Second), current, confirmedAt(start), packet).Reason, forwarding.ServerUnreachable)
+	is.True(forwarder.Decide(start.Add(time.Second), current, confirmedAt(start), openingPacket()).Server != placed.Server)
 }
 
 // TestRestartedServerIsJudgedAnew guards against flows that are reset, or placed elsewhere, for
@@ -236,12 +243,12 @@
 			tracker.Apply(start, store.configuration("bench"))
 			tracker.Apply(start, store.servers(first))
 			before := tracker.Current()
-			placed := forwarder.Decide(start, before, start, openingPacket())
+			placed := forwarder.Decide(start, before, confirmedAt(start), openingPacket())
 			packet := segmentPacket(placed)
 			now := start
 			for range 4 {
 				now = now.Add(200 * time.Millisecond)
-				forwarder.Decide(now, before, start, packet) // retransmissions raise a suspicion
+				forwarder.Decide(now, before, confirmedAt(start), packet) // retransmissions raise a suspicion
 			}
 			forwarder.RecordProbe(now, before, forwarding.Probe{Server: placed.Server.Cookie, Began: start, Evidence: placement.Refused})
 			is.True(forwarder.Chooser.Suspects.Suspected(now, placed.Server.Cookie))
@@ -251,7 +258,7 @@
 			tracker.Apply(start, store.servers(second))
 			after := tracker.Current()
 			forwarder.CatalogueChanged(before, after)
-			is.Equal(forwarder.Decide(now, after, start, packet).Action == forwarding.Forward, test.anew)
+			is.Equal(forwarder.Decide(now, after, confirmedAt(start), packet).Action == forwarding.Forward, test.anew)
 			is.Equal(!forwarder.Chooser.Suspects.Suspected(now, placed.Server.Cookie), test.anew)
 			is.Equal(!forwarder.Chooser.Reachability.Probing(placed.Server.Cookie), test.anew)
 		})
@@ -263,11 +270,11 @@
 	var store fakeStore
 	forwarder := newForwarder()
 	current := newCatalogue(store.configuration("bench"), store.servers(newServer("i-01", "bench"), newServer("i-02", "bench")))
-	placed := forwarder.Decide(start, current, start, openingPacket())
+	placed := forwarder.Decide(start, current, confirmedAt(start), openingPacket())
 	packet := segmentPacket(placed)
 	for i := range 5 {
 		at := start.Add(time.Duration(i) * 200 * time.Millisecond)
-		is.Equal(forwarder.Decide(at, current, start, packet).Action, forwarding.Forward) // slow but alive
+		is.Equal(forwarder.Decide(at, current, confirmedAt(start), packet).Action, forwarding.Forward) // slow but alive
 		reset, _ := forwarder.RecordProbe(at, current, forwarding.Probe{Server: placed.Server.Cookie, Began: at, Evidence: placement.Accepted})
 		is.Equal(len(reset), 0)
 	}
@@ -287,7 +294,7 @@
 		for attempt := range 3 {
 			packet.Source = netip.AddrPortFrom(caller.Addr(), uint16(1000+10*n+attempt))
 			at := start.Add(time.Duration(attempt) * 6 * time.Millisecond)
-			decision := forwarder.Decide(at, current, start, packet)
+			decision := forwarder.Decide(at, current, confirmedAt(start), packet)
 			is.Equal(decision.Probe != nil, attempt > 0) // the server that refused is probed
 			is.True(!tried[decision.Server.ID])
 			if decision.Server.ID == "i-03" {
@@ -305,9 +312,9 @@
 	var store fakeStore
 	current := newCatalogue(store.configuration("bench"), store.servers(newServer("i-01", "bench"), newServer("i-02", "bench"), newServer("i-03", "bench")))
 	packet := openingPacket()
-	first := newForwarder().Decide(start, current, start, packet)
+	first := newForwarder().Decide(start, current, confirmedAt(start), packet)
 	packet.Ack = 1
-	second := newForwarder().Decide(start.Add(200*time.Millisecond), current, start, packet)
+	second := newForwarder().Decide(start.Add(200*time.Millisecond), current, confirmedAt(start), packet)
 	is.True(first.Server != second.Server)
 	is.Equal(second.Reason, forwarding.PlacedAgain)
 }
@@ -330,9 +337,9 @@
 		forwarder := newForwarder()
 		packet := openingPacket()
 		packet.Source = netip.AddrPortFrom(caller.Addr(), uint16(1000+10*n))
-		first := forwarder.Decide(start, current, start, packet)
+		first := forwarder.Decide(start, current, confirmedAt(start), packet)
 		packet.Source = netip.AddrPortFrom(caller.Addr(), uint16(1001+10*n))
-		second := forwarder.Decide(start.Add(5*time.Millisecond), current, start, packet)
+		second := forwarder.Decide(start.Add(5*time.Millisecond), current, confirmedAt(start), packet)
 		is.Equal(first.Server.DataCentre, fleet.DataCentreID("a"))
 		is.Equal(second.Server.DataCentre, fleet.DataCentreID("b"))
 	}
--- a/forwarding/load_test.go
+++ b/forwarding/load_test.go
@@ -37,7 +37,7 @@
 // send sends a packet after a time.
 func (f *flow) send(after time.Duration) forwarding.Decision {
 	f.now = f.now.Add(after)
-	return f.forwarder.Decide(f.now, f.current, f.now, f.packet)
+	return f.forwarder.Decide(f.now, f.current, confirmedAt(f.now), f.packet)
 }
 
 // open opens the flow.
@@ -105,7 +105,7 @@
 	}{
 		{"reset", func(f *flow) { f.packet.Kind = forwarding.Reset; f.send(time.Millisecond) }},
 		{"closed", func(f *flow) { f.packet.Kind, f.packet.Length = forwarding.Closing, 0; f.send(time.Millisecond) }},
-		{"server removed", func(f *flow) { f.forwarder.RemoveServer(start, f.server.Cookie) }},
+		{"server removed", func(f *flow) { f.forwarder.RemoveServer(start, f.server.Cookie, start) }},
 		{"expired", func(f *flow) { f.now = f.now.Add(load.InFlightExpiry + time.Millisecond) }},
 		{"server unreachable", func(f *flow) {
 			f.forwarder.RecordProbe(f.now, f.current, forwarding.Probe{Server: f.server.Cookie, Began: f.now, Evidence: placement.Silent})
--- a/forwarding/preview.go
+++ b/forwarding/preview.go
@@ -27,13 +27,13 @@
 
 // Preview returns how the first opening packet of a flow would be handled now, and why. It neither
 // places the flow nor records anything about it.
-func (f *Forwarder) Preview(now time.Time, current *catalogue.Catalogue, confirmed time.Time, packet Packet) Preview {
+func (f *Forwarder) Preview(now time.Time, current *catalogue.Catalogue, confirmed Confirmation, packet Packet) Preview {
 	if !current.Ready() {
 		return Preview{Reason: NotReady}
 	}
 	route := current.Route(packet.Destination)
 	if route == nil {
-		decision := f.decideOpeningWithoutRoute(now, confirmed)
+		decision := f.decideOpeningWithoutRoute(now, confirmed.Configuration)
 		return Preview{Action: decision.Action, Reason: decision.Reason}
 	}
 	hash := keyOf(&packet).hash()
--- a/forwarding/preview_test.go
+++ b/forwarding/preview_test.go
@@ -22,14 +22,14 @@
 		for port := range uint16(500) {
 			for _, route := range []netip.AddrPort{feed, orders, netip.MustParseAddrPort("198.18.0.9:1")} {
 				packet := openingFrom(2000+port, route)
-				preview := f.Preview(at, current, at, packet)
-				decision := f.Decide(at, current, at, packet)
+				preview := f.Preview(at, current, confirmedAt(at), packet)
+				decision := f.Decide(at, current, confirmedAt(at), packet)
 				is.Equal(preview.Action, decision.Action)
 				is.Equal(preview.Reason, decision.Reason)
 				if decision.Action == forwarding.Forward {
 					is.Equal(preview.Server, decision.Server)
 				}
-				is.Equal(decision, untouched.Decide(at, current, at, packet))
+				is.Equal(decision, untouched.Decide(at, current, confirmedAt(at), packet))
 				if preview.Reason == forwarding.NoRoom {
 					refused++
 					is.True(preview.Admitted < 1)
@@ -67,8 +67,8 @@
 		refused := 0
 		for port := range uint16(500) {
 			packet := openingFrom(2000+port, feed)
-			preview := f.Preview(at, current, at, packet)
-			decision := f.Decide(at, current, at, packet)
+			preview := f.Preview(at, current, confirmedAt(at), packet)
+			decision := f.Decide(at, current, confirmedAt(at), packet)
 			is.Equal(preview.Action, decision.Action)
 			is.Equal(preview.Reason, decision.Reason)
 			is.Equal(preview.AdmittedBy, test.by)
@@ -85,5 +85,5 @@
 // TestPreviewWithoutCatalogue guards against a crash of a host that has just started.
 func TestPreviewWithoutCatalogue(t *testing.T) {
 	is := is.New(t)
-	is.Equal(newForwarder().Preview(start, nil, start, openingPacket()).Reason, forwarding.NotReady)
+	is.Equal(newForwarder().Preview(start, nil, confirmedAt(start), openingPacket()).Reason, forwarding.NotReady)
 }
--- a/forwarding/route_test.go
+++ b/forwarding/route_test.go
@@ -44,11 +44,11 @@
 			host := newForwarder()
 			confirmed := start
 			now := start.Add(time.Second)
-			packet := segmentPacket(newForwarder().Decide(now, ahead, now, openingPacket()))
+			packet := segmentPacket(newForwarder().Decide(now, ahead, confirmedAt(now), openingPacket()))
 			for _, kind := range []forwarding.Kind{forwarding.Segment, forwarding.Segment, forwarding.Closing, forwarding.Reset} {
 				now = now.Add(200 * time.Millisecond)
 				packet.Kind = kind
-				got := host.Decide(now, behind, confirmed, packet)
+				got := host.Decide(now, behind, confirmedAt(confirmed), packet)
 				is.Equal(got.Action, test.action)
 				is.Equal(got.Reason, forwarding.RouteUnknown)
 				if got.Action == forwarding.Forward {
@@ -68,12 +68,12 @@
 	servers := store.servers(newServer("i-01", "bench"))
 	with := newCatalogue(servers, store.configuration("bench"))
 	without := newCatalogue(servers, store.withoutRoutes())
-	packet := segmentPacket(newForwarder().Decide(start, with, start, openingPacket()))
+	packet := segmentPacket(newForwarder().Decide(start, with, confirmedAt(start), openingPacket()))
 	seen := start.Add(time.Second)
 
 	own := newForwarder() // has forwarded the flow by its route
-	is.Equal(own.Decide(seen, with, start, packet).Reason, forwarding.ByCookie)
-	got := own.Decide(seen.Add(time.Second), without, seen.Add(time.Millisecond), packet)
+	is.Equal(own.Decide(seen, with, confirmedAt(start), packet).Reason, forwarding.ByCookie)
+	got := own.Decide(seen.Add(time.Second), without, confirmedAt(seen.Add(time.Millisecond)), packet)
 	is.Equal(got.Action, forwarding.Refuse)
 	is.Equal(got.Reason, forwarding.NoRoute)
 	is.Equal(got.OpenSince, seen)
@@ -88,7 +88,7 @@
 		{500 * time.Millisecond, time.Second, forwarding.Refuse},
 		{20 * time.Second, 2 * time.Second, forwarding.Refuse}, // the route was removed, whatever was configured since
 	} {
-		is.Equal(other.Decide(seen.Add(test.after), without, start.Add(test.confirmed), packet).Action, test.action)
+		is.Equal(other.Decide(seen.Add(test.after), without, confirmedAt(start.Add(test.confirmed)), packet).Action, test.action)
 	}
 }
 
@@ -97,15 +97,15 @@
 func TestFlowOfUnconfirmedConfigurationIsNotReset(t *testing.T) {
 	var store fakeStore
 	servers := store.servers(newServer("i-01", "bench"))
-	packet := segmentPacket(newForwarder().Decide(start, newCatalogue(servers, store.configuration("bench")), start, openingPacket()))
+	packet := segmentPacket(newForwarder().Decide(start, newCatalogue(servers, store.configuration("bench")), confirmedAt(start), openingPacket()))
 	without := newCatalogue(servers, store.withoutRoutes())
 	now := start.Add(time.Second)
 	for name, confirmed := range map[string]time.Time{"unknown": {}, "in the future": now.Add(time.Nanosecond)} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			host := newForwarder()
-			host.Decide(start, without, time.Time{}, packet)
-			is.Equal(host.Decide(now, without, confirmed, packet).Action, forwarding.Forward)
+			host.Decide(start, without, confirmedAt(time.Time{}), packet)
+			is.Equal(host.Decide(now, without, confirmedAt(confirmed), packet).Action, forwarding.Forward)
 		})
 	}
 }
@@ -118,10 +118,10 @@
 	with, without := newCatalogue(servers, store.configuration("bench")), newCatalogue(servers, store.withoutRoutes())
 	host := newForwarder()
 	host.UseLoad(true)
-	placed := host.Decide(start, with, start, openingPacket())
-	host.Decide(start.Add(time.Millisecond), with, start, segmentPacket(placed))
+	placed := host.Decide(start, with, confirmedAt(start), openingPacket())
+	host.Decide(start.Add(time.Millisecond), with, confirmedAt(start), segmentPacket(placed))
 	inFlight := func() float64 { return host.Chooser.Load.Estimate(start.Add(time.Second), placed.Server).InFlight }
 	is.Equal(inFlight(), 1.0)
-	host.Decide(start.Add(time.Second), without, start.Add(time.Second), segmentPacket(placed))
+	host.Decide(start.Add(time.Second), without, confirmedAt(start.Add(time.Second)), segmentPacket(placed))
 	is.Equal(inFlight(), 0.0)
 }
--- a/replay/entryhost.go
+++ b/replay/entryhost.go
@@ -36,7 +36,8 @@
 	Packet       *EntryPacket     `json:"packet,omitempty"`
 	ProbedServer catalogue.Cookie `json:"probed,omitempty"`
 	// ProbeResult is the result of a probe that began at RequestedAt.
-	ProbeResult   string           `json:"found,omitempty"`
+	ProbeResult string `json:"found,omitempty"`
+	// RemovedServer is a removed server. The servers were confirmed at RequestedAt, or at At if that is zero.
 	RemovedServer catalogue.Cookie `json:"ended,omitempty"`
 	// Learning means that the host that starts learns the load of servers.
 	Learning bool       `json:"learning,omitempty"`
@@ -57,6 +58,9 @@
 	Length      int              `json:"length,omitempty"`
 	// Confirmed is the time at which the configuration was last confirmed.
 	Confirmed Duration `json:"confirmed"`
+	// ServersConfirmed is the time at which the servers were last confirmed. If it is absent, they were confirmed when
+	// the packet was received.
+	ServersConfirmed *Duration `json:"servers_confirmed,omitempty"`
 }
 
 // EntryLoad is a use of the load estimates; see [entry.LoadEvent].
@@ -137,15 +141,17 @@
 			line.RequestedAt = r.since(e.Update.AsOf)
 		}
 	case e.Packet != nil:
-		p := e.Packet.Packet
+		p, servers := e.Packet.Packet, r.since(e.Packet.Confirmed.Servers)
 		line.Packet = &EntryPacket{
 			Source: p.Source, Destination: p.Destination, Kind: p.Kind, Cookie: p.Cookie,
-			Seq: p.Seq, Ack: p.Ack, Length: p.Length, Confirmed: r.since(e.Packet.Confirmed),
+			Seq: p.Seq, Ack: p.Ack, Length: p.Length, Confirmed: r.since(e.Packet.Confirmed.Configuration), ServersConfirmed: &servers,
 		}
 		line.Outcome = formatDecision(e.Packet.Decision)
 	case e.Probe != nil:
 		line.ProbedServer, line.ProbeResult, line.RequestedAt = e.Probe.Server, e.Probe.Evidence.String(), r.since(e.Probe.Began)
 		line.Outcome = formatFlows(e.Probe.Flows)
+	case e.RemovedServer != 0:
+		line.RequestedAt = r.since(e.Confirmed)
 	}
 	return line, nil
 }
@@ -246,8 +252,12 @@
 		r.current = r.tracker.Current()
 		r.forwarder.CatalogueChanged(previous, r.current)
 	case e.Packet != nil:
-		p := e.Packet
-		return formatDecision(r.forwarder.Decide(r.at(e.At), r.current, r.at(p.Confirmed), forwarding.Packet{
+		p, servers := e.Packet, e.At
+		if p.ServersConfirmed != nil {
+			servers = *p.ServersConfirmed
+		}
+		confirmed := forwarding.Confirmation{Configuration: r.at(p.Confirmed), Servers: r.at(servers)}
+		return formatDecision(r.forwarder.Decide(r.at(e.At), r.current, confirmed, forwarding.Packet{
 			Source: p.Source, Destination: p.Destination, Kind: p.Kind, Cookie: p.Cookie,
 			Seq: p.Seq, Ack: p.Ack, Length: p.Length,
 		})), nil
@@ -259,7 +269,11 @@
 		flows, _ := r.forwarder.RecordProbe(r.at(e.At), r.current, forwarding.Probe{Server: e.ProbedServer, Began: r.at(e.RequestedAt), Evidence: found})
 		return formatFlows(len(flows)), nil
 	case e.RemovedServer != 0:
-		r.forwarder.RemoveServer(r.at(e.At), e.RemovedServer)
+		confirmed := e.RequestedAt
+		if confirmed == 0 {
+			confirmed = e.At
+		}
+		r.forwarder.RemoveServer(r.at(e.At), e.RemovedServer, r.at(confirmed))
 	}
 	return "", nil
 }
--- a/replay/entryload_test.go
+++ b/replay/entryload_test.go
@@ -61,15 +61,15 @@
 			host.DataCentreLoads(now, current)
 			recorder.Record(entry.Event{At: now, Load: &entry.LoadEvent{Short: true}})
 		}
-		refused := 0
+		refused, confirmed := 0, forwarding.Confirmation{Configuration: start, Servers: start}
 		for port := range uint16(100) {
 			packet := forwarding.Packet{Source: netip.AddrPortFrom(netip.MustParseAddr("100.64.0.7"), 2000+port), Destination: lists, Kind: forwarding.Opening}
-			decision := host.Decide(now, current, start, packet)
+			decision := host.Decide(now, current, confirmed, packet)
 			if decision.Reason == forwarding.NoRoom {
 				refused++
 				is.Equal(decision.AdmittedBy, dataCentre)
 			}
-			recorder.Record(entry.Event{At: now, Packet: &entry.PacketEvent{Packet: packet, Confirmed: start, Decision: decision}})
+			recorder.Record(entry.Event{At: now, Packet: &entry.PacketEvent{Packet: packet, Confirmed: confirmed, Decision: decision}})
 		}
 		is.True(refused > 50)
 		is.NoErr(recorder.Err())
