forwarding: A flow on a removed server is reset only if its caller gets no response

Change: a removal ends the flows that were seen when it was confirmed, as before. A later flow is reset only if its caller has to retransmit a packet and the server was still removed at a time since the flow was first seen. A flow that makes progress stays.

Conclusion: a missing record is weaker than a response.

--- a/forwarding/flowtable.go
+++ b/forwarding/flowtable.go
@@ -314,6 +314,12 @@
 	return state.openSince
 }
 
+// Ended reports whether the flow was reset recently, as its server had ended.
+func (f *FlowTable) Ended(packet *Packet) bool {
+	state, _ := f.peek(keyOf(packet))
+	return state.ended
+}
+
 // Remove removes a flow and returns its request in flight.
 func (f *FlowTable) Remove(packet *Packet) InFlight {
 	key := keyOf(packet)
--- a/forwarding/forwarder.go
+++ b/forwarding/forwarder.go
@@ -496,23 +496,27 @@
 	return f.flows.EndFlows(now, server, confirmed)
 }
 
-// decideWithoutServer refuses a packet whose server was removed, if the servers were confirmed after the flow had been
-// seen. Otherwise the server may have started again under its id since, and gets the packet at its last known address. An
-// unknown cookie does not show that its server was removed, so its packet is dropped.
+// decideWithoutServer refuses a packet of a flow that ended with the removal of its server. A later flow may be of a server
+// that has started again under its id, or that has lost its record and runs. Its packets go to the last known address,
+// until the caller has to retransmit one and the server has been removed at a time since the flow was seen. An unknown
+// cookie does not show that its server was removed, so its packet is dropped.
 func (f *Forwarder) decideWithoutServer(now time.Time, current *catalogue.Catalogue, confirmed time.Time, cookie catalogue.Cookie, packet Packet) Decision {
 	server := current.Removed()[cookie]
 	if server == nil {
 		return Decision{Reason: ServerUnknown}
 	}
 	decision := Decision{Action: Forward, Reason: ServerGone, Server: server, Cookie: packet.Cookie, OpenSince: f.flows.OpenSince(&packet)}
-	switch {
-	case packet.Kind == Reset:
+	if packet.Kind == Reset {
 		f.recordEnd(now, current, packet.Destination, f.flows.Remove(&packet))
-	case confirmedSince(now, confirmed, decision.OpenSince):
-		decision.Action, decision.Cookie = Refuse, 0
-		f.recordEnd(now, current, packet.Destination, f.flows.TakeRequest(&packet))
-	default:
-		f.recordEnd(now, current, packet.Destination, f.flows.RecordPacket(now, &packet, cookie).Ended)
+		return decision
+	}
+	if !f.flows.Ended(&packet) {
+		record := f.flows.RecordPacket(now, &packet, cookie)
+		f.recordEnd(now, current, packet.Destination, record.Ended)
+		if record.Signal != Retransmission || !confirmedSince(now, confirmed, decision.OpenSince) {
+			return decision
+		}
 	}
+	decision.Action, decision.Cookie = Refuse, 0
 	return decision
 }
--- a/forwarding/removed_test.go
+++ b/forwarding/removed_test.go
@@ -65,6 +65,25 @@
 	}
 }
 
+// TestFlowOfServerWithoutRecordIsNotReset guards against the reset of an open flow whose server runs although the store has
+// no record of it: the flow was placed after the removal had been confirmed, and the server has accepted it.
+func TestFlowOfServerWithoutRecordIsNotReset(t *testing.T) {
+	is := is.New(t)
+	removed := catalogueWithoutServer()
+	host := newForwarder()
+	packet := segmentOfLaterStart()
+	for i := range 5 { // each acknowledges the response to the one before
+		now := start.Add(time.Duration(i) * 2 * time.Second)
+		is.Equal(host.Decide(now, removed, confirmedAt(now.Add(-time.Millisecond)), packet).Action, forwarding.Forward)
+		packet.Seq += 100
+		packet.Ack += 2000
+	}
+	now := start.Add(10 * time.Second)
+	is.Equal(host.Decide(now, removed, confirmedAt(now), packet).Action, forwarding.Forward)
+	now = now.Add(200 * time.Millisecond) // there was no response
+	is.Equal(host.Decide(now, removed, confirmedAt(now), packet).Action, forwarding.Refuse)
+}
+
 // TestRemovalEndsEarlierFlowsOnly guards against the reset of flows of a later start of a removed server, which arrived from
 // another host after the list without the server was confirmed.
 func TestRemovalEndsEarlierFlowsOnly(t *testing.T) {
