catalogue: A record that the store may have lost is not known to be missing

What callers saw: nothing known. After a restoration of the store from an older copy a host that had not read the latest configuration before could reset open flows of its routes, and after an outage those of a server that started again meanwhile.

Cause: a host counted a list as confirmed as soon as it had read it, also while lost records are written again. Refusals of new flows allow for that by their bounds; the rule that resets open flows needs a time at which nothing else existed.

Change: Tracker.CompleteAt is the time of confirmation without the grace after an outage (servers) or a restoration (servers and configurations). Resets of open flows depend on it, and their lines show its age (complete_age_ms). Traces have it as complete.

Figures: none from callers.

A host that starts after the restoration can't know of it.

--- a/catalogue/restoration.go
+++ b/catalogue/restoration.go
@@ -41,6 +41,7 @@
 	case Configurations, Evacuations:
 	}
 	t.retained.until[source] = now.Add(grace)
+	t.expectRewrites(source, t.retained.until[source])
 }
 
 // retainEvacuations keeps the data centres out of service that a restored store does not
--- a/catalogue/restoration_test.go
+++ b/catalogue/restoration_test.go
@@ -219,3 +219,80 @@
 	follower.Succeeded(start, 9, start) // a watch
 	is.Equal(follower.HistoryExpired(), time.Duration(0))
 }
+
+// TestLostRecordsProveNothing guards against flows that are reset for the lack of a record that the store has lost, until its
+// writer has written it again.
+func TestLostRecordsProveNothing(t *testing.T) {
+	const source = catalogue.Servers
+	step := func(tracker *catalogue.Tracker, now time.Time, version catalogue.Version, grace time.Duration) time.Time {
+		update := servers(version, true, record(server("i-01", version)))
+		update.AsOf, update.Grace = now, grace
+		tracker.Apply(now, update)
+		return tracker.CompleteAt(source)
+	}
+	before, after := start.Add(time.Second), start.Add(2*time.Second)
+	for _, test := range []struct {
+		name    string
+		version catalogue.Version
+		grace   time.Duration
+		lasts   time.Duration
+	}{
+		{"no outage", at(1, 3), 0, 0},
+		{"outage", at(1, 3), catalogue.RecoveryGrace, catalogue.RecoveryGrace},
+		{"restoration", at(2, 3), 0, catalogue.DefaultRestorationGrace},
+		{"restoration after an outage", at(2, 3), catalogue.RecoveryGrace, catalogue.DefaultRestorationGrace},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			var tracker catalogue.Tracker
+			is.Equal(step(&tracker, start, at(1, 1), 0), start)
+			is.Equal(step(&tracker, before, at(1, 2), 0), before)
+			got := step(&tracker, after, test.version, test.grace)
+			is.Equal(tracker.ConfirmedAt(source), after)
+			if test.lasts == 0 {
+				is.Equal(got, after)
+				return
+			}
+			is.Equal(got, before)
+			settled := after.Add(test.lasts)
+			for now := after.Add(time.Second); now.Before(settled); now = now.Add(time.Second) {
+				is.Equal(step(&tracker, now, test.version, 0), before)
+			}
+			is.Equal(step(&tracker, settled.Add(-time.Nanosecond), test.version, 0), before)
+			is.Equal(step(&tracker, settled, test.version, 0), settled)
+		})
+	}
+	t.Run("two outages", func(t *testing.T) {
+		is := is.New(t)
+		var tracker catalogue.Tracker
+		step(&tracker, start, at(1, 1), 0)
+		for i := range 3 { // each begins before the records of the last one are complete
+			now := after.Add(time.Duration(i) * time.Second)
+			is.Equal(step(&tracker, now, at(1, 2), catalogue.RecoveryGrace), start)
+		}
+	})
+	t.Run("the host was out of date", func(t *testing.T) {
+		is := is.New(t)
+		var tracker catalogue.Tracker
+		step(&tracker, start, at(1, 1), 0)
+		is.Equal(step(&tracker, start.Add(catalogue.OutageThreshold+time.Second), at(1, 2), 0), start)
+	})
+	t.Run("configuration of a restored store", func(t *testing.T) {
+		is := is.New(t)
+		var tracker catalogue.Tracker
+		for _, s := range []struct {
+			version catalogue.Version
+			asOf    time.Time
+			want    time.Time
+		}{
+			{at(1, 9), before, before},
+			{at(2, 5), after, before},
+			{at(2, 6), after.Add(catalogue.DefaultRestorationGrace), after.Add(catalogue.DefaultRestorationGrace)},
+		} {
+			update := configuration(s.version, 3)
+			update.AsOf = s.asOf
+			tracker.Apply(s.asOf, update)
+			is.Equal(tracker.CompleteAt(catalogue.Configurations), s.want)
+		}
+	})
+}
--- a/catalogue/trackedserver.go
+++ b/catalogue/trackedserver.go
@@ -128,8 +128,12 @@
 	if until := now.Add(min(update.Grace, RecoveryGrace)); until.After(t.graceUntil) {
 		t.graceUntil = until
 	}
+	if update.Grace > 0 {
+		t.expectRewrites(Servers, t.graceUntil)
+	}
 	if last := t.confirmed[Servers]; !last.IsZero() && now.Sub(last) > OutageThreshold {
 		t.keepUntil = now.Add(RecoveryGrace)
+		t.expectRewrites(Servers, t.keepUntil)
 	}
 }
 
--- a/catalogue/tracker.go
+++ b/catalogue/tracker.go
@@ -139,6 +139,8 @@
 	versions  [sourceCount]Version
 	confirmed [sourceCount]time.Time
 	listed    [sourceCount]bool
+	// rewrites holds the periods in which the store may lack records.
+	rewrites [sourceCount]rewritePeriod
 	// graceUntil is how long servers whose records have lapsed stay in use, and keepUntil how
 	// long their flows are kept.
 	graceUntil, keepUntil time.Time
@@ -178,6 +180,29 @@
 // current.
 func (t *Tracker) ConfirmedAt(s Source) time.Time { return t.confirmed[s] }
 
+// CompleteAt returns the last time at which a source was known to have no other records than the known ones. Unlike
+// ConfirmedAt, it excludes the time after an outage or a restoration of the store, in which lost records are written again.
+func (t *Tracker) CompleteAt(s Source) time.Time {
+	if t.confirmed[s].Before(t.rewrites[s].until) {
+		return t.rewrites[s].completeAt
+	}
+	return t.confirmed[s]
+}
+
+// rewritePeriod is a time in which writers write records again that the store has lost.
+type rewritePeriod struct {
+	until time.Time
+	// completeAt is when the source was last complete before.
+	completeAt time.Time
+}
+
+// expectRewrites records that the store may lack records of a source until a time.
+func (t *Tracker) expectRewrites(s Source, until time.Time) {
+	if until.After(t.rewrites[s].until) {
+		t.rewrites[s] = rewritePeriod{until: until, completeAt: t.CompleteAt(s)}
+	}
+}
+
 // Listed reports whether all records of a source have been read.
 func (t *Tracker) Listed(s Source) bool { return t.listed[s] }
 
--- a/entry/control.go
+++ b/entry/control.go
@@ -132,7 +132,7 @@
 	host := c.host
 	last := host.snapshot.Load()
 	before := last.catalogue
-	next := &snapshot{catalogue: before, catalogueConfirmed: last.catalogueConfirmed}
+	next := &snapshot{catalogue: before, catalogueConfirmed: last.catalogueConfirmed, catalogueComplete: last.catalogueComplete}
 	for source := range catalogue.Source(catalogue.SourceCount) {
 		next.versions[source] = c.tracker.Version(source)
 		next.confirmed[source] = c.tracker.ConfirmedAt(source)
@@ -147,6 +147,9 @@
 	}
 	if !c.pending {
 		next.catalogueConfirmed = next.confirmed
+		for source := range catalogue.Source(catalogue.SourceCount) {
+			next.catalogueComplete[source] = c.tracker.CompleteAt(source)
+		}
 	}
 	host.mu.Lock()
 	host.snapshot.Store(next)
@@ -198,7 +201,7 @@
 	if before == nil {
 		return
 	}
-	confirmed := after.catalogueConfirmed[catalogue.Servers]
+	confirmed := after.catalogueComplete[catalogue.Servers]
 	for cookie := range after.catalogue.Removed() {
 		server := before.Server(cookie)
 		if server == nil {
--- a/entry/host.go
+++ b/entry/host.go
@@ -91,11 +91,17 @@
 	confirmed [catalogue.SourceCount]time.Time
 	// catalogueConfirmed is when the records of each source in the catalogue were last confirmed.
 	catalogueConfirmed [catalogue.SourceCount]time.Time
+	// catalogueComplete is when each source was last known to have no other records than the catalogue.
+	catalogueComplete [catalogue.SourceCount]time.Time
 }
 
 // confirmation returns the times of confirmation that decisions depend on.
 func (s *snapshot) confirmation() forwarding.Confirmation {
-	return forwarding.Confirmation{Configuration: s.catalogueConfirmed[catalogue.Configurations], Servers: s.catalogueConfirmed[catalogue.Servers]}
+	return forwarding.Confirmation{
+		Configuration: s.catalogueConfirmed[catalogue.Configurations],
+		Routes:        s.catalogueComplete[catalogue.Configurations],
+		Servers:       s.catalogueComplete[catalogue.Servers],
+	}
 }
 
 // Run runs the host until ctx ends and then stops it gracefully: health checks fail from
--- a/entry/packets.go
+++ b/entry/packets.go
@@ -87,8 +87,11 @@
 	switch decision.Reason {
 	case forwarding.NoRoom:
 		pairs = append(pairs, "data_centre", decision.AdmittedBy)
-	case forwarding.NoRoute, forwarding.RouteUnknown, forwarding.ServerGone:
-		pairs = append(pairs, "configuration", current.catalogue.Configuration.Number, "flow_age_ms", loggedAge(now, decision.OpenSince))
+	case forwarding.NoRoute, forwarding.RouteUnknown:
+		pairs = append(pairs, "configuration", current.catalogue.Configuration.Number,
+			"complete_age_ms", loggedAge(now, current.catalogueComplete[catalogue.Configurations]), "flow_age_ms", loggedAge(now, decision.OpenSince))
+	case forwarding.ServerGone:
+		pairs = append(pairs, "complete_age_ms", loggedAge(now, current.catalogueComplete[catalogue.Servers]), "flow_age_ms", loggedAge(now, decision.OpenSince))
 	}
 	h.log.Line(decision.Reason.String(), pairs...)
 }
--- a/forwarding/forwarder.go
+++ b/forwarding/forwarder.go
@@ -162,7 +162,11 @@
 
 // Confirmation holds the times at which the state in a catalogue was last confirmed. Zero means that it was not.
 type Confirmation struct {
-	Configuration, Servers time.Time
+	// Configuration is when the configuration was known to be current.
+	Configuration time.Time
+	// Routes and Servers are when no others were known to exist. After an outage or a restoration of the store they
+	// remain at a time before it, until lost records have been written again.
+	Routes, Servers time.Time
 }
 
 // confirmedSince reports whether a state was confirmed for a time at or after another, which is zero if it is not known.
@@ -209,7 +213,7 @@
 func (f *Forwarder) decideSegmentWithoutRoute(now time.Time, current *catalogue.Catalogue, confirmed Confirmation, packet Packet) Decision {
 	openSince := f.flows.OpenSince(&packet)
 	decision := Decision{Action: Refuse, Reason: NoRoute}
-	if packet.Kind != Reset && confirmedSince(now, confirmed.Configuration, openSince) {
+	if packet.Kind != Reset && confirmedSince(now, confirmed.Routes, openSince) {
 		f.recordEnd(now, current, packet.Destination, f.flows.TakeRequest(&packet))
 	} else if decision = f.decideSegment(now, current, confirmed, packet); decision.Action != Refuse {
 		decision.Reason = RouteUnknown
--- a/forwarding/forwarder_test.go
+++ b/forwarding/forwarder_test.go
@@ -53,7 +53,7 @@
 
 // confirmedAt returns the confirmation of all sources at a time.
 func confirmedAt(at time.Time) forwarding.Confirmation {
-	return forwarding.Confirmation{Configuration: at, Servers: at}
+	return forwarding.Confirmation{Configuration: at, Routes: at, Servers: at}
 }
 
 func newForwarder() *forwarding.Forwarder {
--- a/forwarding/removed_test.go
+++ b/forwarding/removed_test.go
@@ -43,7 +43,7 @@
 		{"reset by the caller", forwarding.Reset, confirmedAt(seen), forwarding.Forward},
 		{"never confirmed", forwarding.Segment, forwarding.Confirmation{}, forwarding.Forward},
 		{"confirmed in the future", forwarding.Segment, confirmedAt(seen.Add(time.Hour)), forwarding.Forward},
-		{"only the configuration confirmed since", forwarding.Segment, forwarding.Confirmation{Configuration: seen, Servers: confirmed}, forwarding.Forward},
+		{"only the configuration confirmed since", forwarding.Segment, forwarding.Confirmation{Configuration: seen, Routes: seen, Servers: confirmed}, forwarding.Forward},
 		{"confirmed since", forwarding.Segment, confirmedAt(seen), forwarding.Refuse},
 		{"confirmed since, closing", forwarding.Closing, confirmedAt(seen), forwarding.Refuse},
 	} {
--- a/replay/entryhost.go
+++ b/replay/entryhost.go
@@ -58,9 +58,15 @@
 	Length      int              `json:"length,omitempty"`
 	// Confirmed is the time at which the configuration was last confirmed.
 	Confirmed Duration `json:"confirmed"`
-	// ServersConfirmed is the time at which the servers were last confirmed. If it is absent, they were confirmed when
-	// the packet was received.
-	ServersConfirmed *Duration `json:"servers_confirmed,omitempty"`
+	// Complete is absent in traces of earlier versions: no other routes existed when the configuration was
+	// confirmed, and no other servers when the packet was received.
+	Complete *EntryComplete `json:"complete,omitempty"`
+}
+
+// EntryComplete holds the times at which no other routes and servers were known to exist; see [forwarding.Confirmation].
+type EntryComplete struct {
+	Routes  Duration `json:"routes"`
+	Servers Duration `json:"servers"`
 }
 
 // EntryLoad is a use of the load estimates; see [entry.LoadEvent].
@@ -141,10 +147,11 @@
 			line.RequestedAt = r.since(e.Update.AsOf)
 		}
 	case e.Packet != nil:
-		p, servers := e.Packet.Packet, r.since(e.Packet.Confirmed.Servers)
+		p, confirmed := e.Packet.Packet, e.Packet.Confirmed
 		line.Packet = &EntryPacket{
 			Source: p.Source, Destination: p.Destination, Kind: p.Kind, Cookie: p.Cookie,
-			Seq: p.Seq, Ack: p.Ack, Length: p.Length, Confirmed: r.since(e.Packet.Confirmed.Configuration), ServersConfirmed: &servers,
+			Seq: p.Seq, Ack: p.Ack, Length: p.Length, Confirmed: r.since(confirmed.Configuration),
+			Complete: &EntryComplete{Routes: r.since(confirmed.Routes), Servers: r.since(confirmed.Servers)},
 		}
 		line.Outcome = formatDecision(e.Packet.Decision)
 	case e.Probe != nil:
@@ -252,11 +259,11 @@
 		r.current = r.tracker.Current()
 		r.forwarder.CatalogueChanged(previous, r.current)
 	case e.Packet != nil:
-		p, servers := e.Packet, e.At
-		if p.ServersConfirmed != nil {
-			servers = *p.ServersConfirmed
+		p, complete := e.Packet, EntryComplete{Routes: e.Packet.Confirmed, Servers: e.At}
+		if p.Complete != nil {
+			complete = *p.Complete
 		}
-		confirmed := forwarding.Confirmation{Configuration: r.at(p.Confirmed), Servers: r.at(servers)}
+		confirmed := forwarding.Confirmation{Configuration: r.at(p.Confirmed), Routes: r.at(complete.Routes), Servers: r.at(complete.Servers)}
 		return formatDecision(r.forwarder.Decide(r.at(e.At), r.current, confirmed, forwarding.Packet{
 			Source: p.Source, Destination: p.Destination, Kind: p.Kind, Cookie: p.Cookie,
 			Seq: p.Seq, Ack: p.Ack, Length: p.Length,
--- a/replay/entryload_test.go
+++ b/replay/entryload_test.go
@@ -61,7 +61,7 @@
 			host.DataCentreLoads(now, current)
 			recorder.Record(entry.Event{At: now, Load: &entry.LoadEvent{Short: true}})
 		}
-		refused, confirmed := 0, forwarding.Confirmation{Configuration: start, Servers: start}
+		refused, confirmed := 0, forwarding.Confirmation{Configuration: start, Routes: start, Servers: start}
 		for port := range uint16(100) {
 			packet := forwarding.Packet{Source: netip.AddrPortFrom(netip.MustParseAddr("100.64.0.7"), 2000+port), Destination: lists, Kind: forwarding.Opening}
 			decision := host.Decide(now, current, confirmed, packet)
