command: The soak creates its folder

What callers saw: nothing; who runs `soak -folder DIR` with a folder that does not exist got a panic of the first fault instead of an error.

Cause: no machine could create its log, which is reported as a violation, and the faults then used machines that do not exist.

Change: the folder is created; if that fails, the command ends with the error and status 2.

--- a/command/soak.go
+++ b/command/soak.go
@@ -52,7 +52,7 @@
 // SetFlags defines the command's flags.
 func (c *Soak) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.program, "program", "target/rattanthread-entry", "path of the entry host program")
-	f.StringVar(&c.folder, "folder", "", "folder for settings and logs; a new one by default")
+	f.StringVar(&c.folder, "folder", "", "folder for settings and logs, which is created; a temporary one by default")
 	f.Uint64Var(&c.seed, "seed", 1, "the first seed")
 	f.IntVar(&c.seeds, "seeds", 1, "number of seeds to run, one after the other")
 	f.DurationVar(&c.length, "length", 15*time.Second, "duration of the run of each seed")
@@ -71,6 +71,9 @@
 		}
 		c.folder = folder
 	}
+	if err := os.MkdirAll(c.folder, 0o700); err != nil {
+		return c.fail(fmt.Errorf("%w: %w", errInput, err))
+	}
 	status := subcommands.ExitSuccess
 	for i := range c.seeds {
 		violated, err := c.run(c.seed + uint64(i))
