--- a/entry/control.go
+++ b/entry/control.go
@@ -195,8 +195,8 @@
 	}
 }
 
-// resetFlowsOfRemovedServers resets the flows of the servers that were removed between two
-// catalogues, the later of which is that of a snapshot.
+// resetFlowsOfRemovedServers resets the flows of the servers that were removed between a
+// catalogue and that of the next snapshot.
 func (h *Host) resetFlowsOfRemovedServers(before *catalogue.Catalogue, after *snapshot) {
 	if before == nil {
 		return
--- a/entry/event.go
+++ b/entry/event.go
@@ -24,7 +24,7 @@
 	Packet    *PacketEvent
 	Probe     *ProbeEvent
 	Load      *LoadEvent
-	// RemovedServer is a removed server whose flows were reset, and Confirmed when the servers were confirmed.
+	// RemovedServer is a removed server whose flows were reset, and Confirmed when its removal was last confirmed.
 	RemovedServer catalogue.Cookie
 	Confirmed     time.Time
 }
--- a/forwarding/forwarder.go
+++ b/forwarding/forwarder.go
@@ -169,10 +169,11 @@
 	Routes, Servers time.Time
 }
 
-// confirmedSince reports whether a state was confirmed for a time at or after another, which is zero if it is not known.
-func confirmedSince(now, confirmed, since time.Time) bool {
+// confirmedSince reports whether a state was confirmed when a flow had already been seen. Both times are zero if they are
+// not known.
+func confirmedSince(now, confirmed, openSince time.Time) bool {
 	_, known := catalogue.AgeAt(now, confirmed)
-	return known && !since.IsZero() && !since.After(confirmed)
+	return known && !openSince.IsZero() && !openSince.After(confirmed)
 }
 
 // Decide decides how a packet is handled, based on the host's catalogue.
@@ -490,8 +491,8 @@
 	}
 }
 
-// RemoveServer discards the state of a server whose record did not exist at a time. It returns a packet of
-// each flow to reset.
+// RemoveServer discards the state of a removed server, whose removal was last confirmed at a time. It returns a
+// packet of each flow to reset.
 func (f *Forwarder) RemoveServer(now time.Time, server catalogue.Cookie, confirmed time.Time) []Packet {
 	f.Chooser.Reachability.Forget(server)
 	f.Chooser.Loads.Forget(server)
@@ -500,10 +501,10 @@
 	return f.flows.EndFlows(now, server, confirmed)
 }
 
-// decideWithoutServer refuses a packet of a flow that ended with the removal of its server. A later flow may be of a server
-// that has started again under its id, or that has lost its record and runs. Its packets go to the last known address,
-// until the caller has to retransmit one and the server has been removed at a time since the flow was seen. An unknown
-// cookie does not show that its server was removed, so its packet is dropped.
+// decideWithoutServer refuses a packet of a flow that was ended by the removal of its server. Any other flow may be on a
+// later start of the server, or on a server that runs without a record. Its packets go to the last known address, until
+// the caller retransmits one and the removal was confirmed again after the flow had been seen. An unknown cookie does not
+// show that its server was removed, so its packet is dropped.
 func (f *Forwarder) decideWithoutServer(now time.Time, current *catalogue.Catalogue, confirmed time.Time, cookie catalogue.Cookie, packet Packet) Decision {
 	server := current.Removed()[cookie]
 	if server == nil {
--- a/replay/entryhost.go
+++ b/replay/entryhost.go
@@ -37,7 +37,7 @@
 	ProbedServer catalogue.Cookie `json:"probed,omitempty"`
 	// ProbeResult is the result of a probe that began at RequestedAt.
 	ProbeResult string `json:"found,omitempty"`
-	// RemovedServer is a removed server. The servers were confirmed at RequestedAt, or at At if that is zero.
+	// RemovedServer is a removed server. Its removal was last confirmed at RequestedAt, or at At if that is zero.
 	RemovedServer catalogue.Cookie `json:"ended,omitempty"`
 	// Learning means that the host that starts learns the load of servers.
 	Learning bool       `json:"learning,omitempty"`
