--- a/cmd/rattanthread-entry/start_test.go
+++ b/cmd/rattanthread-entry/start_test.go
@@ -68,9 +68,7 @@
 	s := new(platformstandin.Site)
 	s.Configure(1, nil)
 	for i := range serverCount {
-		s.Store.Put("servers", fmt.Sprintf("i-%06x", i+1), map[string]any{
-			"service": "bench", "address": server, "zone": "a", "slots": 2, "state": "ready",
-		})
+		s.Store.Put("servers", fmt.Sprintf("i-%06x", i+1), platformstandin.TargetSpec("bench", server, "a"))
 	}
 	return &s.Store
 }
--- a/entry/joining_test.go
+++ b/entry/joining_test.go
@@ -144,7 +144,7 @@
 		site.Store.Put("rattanthread_hosts", "front-a-9", map[string]any{"data_centre": "b", "address": "10.9.0.9:80", "strength": 9})
 		h := startFollowedHost(t, site)
 		time.Sleep(3 * time.Second)
-		revision := site.Store.Put("servers", "i-0fffff", map[string]any{"service": "bench", "address": "10.0.9.9:80", "zone": "a", "slots": 2, "state": "ready"})
+		revision := site.Store.Put("servers", "i-0fffff", platformstandin.TargetSpec("bench", "10.0.9.9:80", "a"))
 		time.Sleep(12 * time.Second) // longer than each watch waits
 		current, earlier := h.follow(t, hello(revision-1, true)), h.follow(t, hello(revision-1, false))
 		time.Sleep(time.Second)
--- a/entry/reader_test.go
+++ b/entry/reader_test.go
@@ -63,9 +63,7 @@
 	site := new(platformstandin.Site)
 	site.Configure(1, nil)
 	for i := range 1100 {
-		site.Store.Put("servers", fmt.Sprintf("i-%06x", i), map[string]any{
-			"service": "bench", "address": fmt.Sprintf("10.0.%d.%d:80", i/250, i%250), "zone": "a", "slots": 2, "state": "ready",
-		})
+		site.Store.Put("servers", fmt.Sprintf("i-%06x", i), platformstandin.TargetSpec("bench", fmt.Sprintf("10.0.%d.%d:80", i/250, i%250), "a"))
 	}
 	return site
 }
--- a/platformstandin/site.go
+++ b/platformstandin/site.go
@@ -286,10 +286,18 @@
 	case missed[t.ID] == 0 && s.Store.spec("servers", t.ID)["state"] == stateName && !restarted:
 	default:
 		missed[t.ID] = 0
-		s.Store.Put("servers", t.ID, map[string]any{
-			"service": t.Service, "address": t.Address.String(), "zone": t.Zone, "version": "v1", "slots": targetSlots,
-			"state": stateName, "cold_remaining_ms": t.warmupLeft().Milliseconds(), "seq": t.heartbeats, "born": 1 + t.starts,
-		})
+		spec := TargetSpec(t.Service, t.Address.String(), t.Zone)
+		spec["state"], spec["cold_remaining_ms"] = stateName, t.warmupLeft().Milliseconds()
+		spec["seq"], spec["born"] = t.heartbeats, 1+t.starts
+		s.Store.Put("servers", t.ID, spec)
+	}
+}
+
+// TargetSpec returns the spec of the first record of a warm target.
+func TargetSpec(service, address, zone string) map[string]any {
+	return map[string]any{
+		"service": service, "address": address, "zone": zone, "version": "v1", "slots": targetSlots,
+		"state": "ready", "cold_remaining_ms": 0, "seq": 1,
 	}
 }
 
--- a/platformstandin/site_test.go
+++ b/platformstandin/site_test.go
@@ -161,9 +161,10 @@
 // invalidSpecs are contents of records that another writer left among those of targets.
 var invalidSpecs = []string{
 	strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000),
-	`{"service":"bench","address":"10.9.9.9:65536","zone":"a","slots":2,"state":"ready","born":1}`,
-	`{"service":"bench","address":"10.9.9.9:80","zone":"a","slots":1e999,"state":"ready","born":1}`,
-	`{"service":"bench","address":"10.9.9.9:80","zone":"a","slots":2,"cold_remaining_ms":1e300,"state":"ready","born":1}`,
+	`{"service":"bench","address":"10.9.9.9:65536","zone":"a","version":"v1","slots":2,"state":"ready","cold_remaining_ms":0,"seq":1,"born":1}`,
+	`{"service":"bench","address":"10.9.9.9:80","zone":"a","version":"v1","slots":1e999,"state":"ready","cold_remaining_ms":0,"seq":1,"born":1}`,
+	`{"service":"bench","address":"10.9.9.9:80","zone":"a","version":"v1","slots":2,"cold_remaining_ms":1e300,"state":"ready","seq":1,"born":1}`,
+	`{"service":"bench","address":"10.9.9.9:80","zone":"a","slots":2,"state":"ready","born":1}`,
 }
 
 // TestInvalidRecords leaves invalid records among those of targets: before the hosts start, and
