--- a/forwarding/forwarder.go
+++ b/forwarding/forwarder.go
@@ -169,13 +169,6 @@
 	Routes, Servers time.Time
 }
 
-// confirmedSince reports whether a state was confirmed when a flow had already been seen. Both times are zero if they are
-// not known.
-func confirmedSince(now, confirmed, openSince time.Time) bool {
-	_, known := catalogue.AgeAt(now, confirmed)
-	return known && !openSince.IsZero() && !openSince.After(confirmed)
-}
-
 // Decide decides how a packet is handled, based on the host's catalogue.
 func (f *Forwarder) Decide(now time.Time, current *catalogue.Catalogue, confirmed Confirmation, packet Packet) Decision {
 	if packet.Kind == Foreign {
@@ -208,21 +201,6 @@
 	return Decision{Action: Refuse, Reason: NoRoute}
 }
 
-// decideSegmentWithoutRoute refuses a packet of an open flow if the configuration was confirmed after the flow had
-// been seen: its route was then removed. Otherwise the flow may have been opened through another host with a later
-// configuration, and is forwarded by its cookie.
-func (f *Forwarder) decideSegmentWithoutRoute(now time.Time, current *catalogue.Catalogue, confirmed Confirmation, packet Packet) Decision {
-	openSince := f.flows.OpenSince(&packet)
-	decision := Decision{Action: Refuse, Reason: NoRoute}
-	if packet.Kind != Reset && confirmedSince(now, confirmed.Routes, openSince) {
-		f.recordEnd(now, current, packet.Destination, f.flows.TakeRequest(&packet))
-	} else if decision = f.decideSegment(now, current, confirmed, packet); decision.Action != Refuse {
-		decision.Reason = RouteUnknown
-	}
-	decision.OpenSince = openSince
-	return decision
-}
-
 // decideOpening selects the server of a new flow.
 func (f *Forwarder) decideOpening(now time.Time, current *catalogue.Catalogue, route *catalogue.Route, packet Packet) Decision {
 	hash := keyOf(&packet).hash()
@@ -353,46 +331,6 @@
 	return failed
 }
 
-// decideSegment forwards a packet of an open flow to the flow's server.
-func (f *Forwarder) decideSegment(now time.Time, current *catalogue.Catalogue, confirmed Confirmation, packet Packet) Decision {
-	cookie := packet.Cookie.MaskFor(packet.Destination)
-	server := current.Server(cookie)
-	if server == nil {
-		return f.decideWithoutServer(now, current, confirmed.Servers, cookie, packet)
-	}
-	if f.Chooser.Reachability.FlowsEnded(cookie) && packet.Kind != Reset {
-		f.recordEnd(now, current, packet.Destination, f.flows.Remove(&packet))
-		return Decision{Action: Refuse, Reason: ServerUnreachable, Server: server}
-	}
-	decision := Decision{Action: Forward, Reason: ByCookie, Server: server, Cookie: packet.Cookie}
-	if packet.Kind == Reset {
-		f.recordEnd(now, current, packet.Destination, f.flows.Remove(&packet))
-		return decision
-	}
-	record := f.flows.RecordPacket(now, &packet, cookie)
-	f.recordLoad(now, current, server, packet.Destination, &record)
-	if record.Latency > 0 {
-		f.Chooser.Shortage.RecordResponse(now)
-	}
-	if record.Latency > 0 && f.Chooser.Loads.RecordResponse(now, server, record.Latency) {
-		decision.LoadChanged = true
-		decision.Busy = f.Chooser.Loads.Busy(now, cookie)
-	}
-	switch record.Signal {
-	case Retransmission:
-		f.recordRetransmission(now, current, cookie, &decision)
-		f.recordUnacknowledged(now, current, cookie)
-	case Response:
-		f.Chooser.Reachability.RecordResponse(now, cookie)
-		f.Chooser.Isolation.RecordResponse()
-		if f.Chooser.Suspects.RecordResponse(now, cookie) {
-			decision.SuspicionCleared = cookie
-		}
-	case NoSignal:
-	}
-	return decision
-}
-
 // recordLoad records the requests that a packet begins or ends on its server.
 func (f *Forwarder) recordLoad(now time.Time, current *catalogue.Catalogue, server *catalogue.Server, route netip.AddrPort, record *PacketRecord) {
 	if record.Latency > 0 && record.Ended.Server != 0 {
@@ -500,28 +438,3 @@
 	f.Chooser.Warmup.Forget(server)
 	return f.flows.EndFlows(now, server, confirmed)
 }
-
-// decideWithoutServer refuses a packet of a flow that was ended by the removal of its server. Any other flow may be on a
-// later start of the server, or on a server that runs without a record. Its packets go to the last known address, until
-// the caller retransmits one and the removal was confirmed again after the flow had been seen. An unknown cookie does not
-// show that its server was removed, so its packet is dropped.
-func (f *Forwarder) decideWithoutServer(now time.Time, current *catalogue.Catalogue, confirmed time.Time, cookie catalogue.Cookie, packet Packet) Decision {
-	server := current.Removed()[cookie]
-	if server == nil {
-		return Decision{Reason: ServerUnknown}
-	}
-	decision := Decision{Action: Forward, Reason: ServerGone, Server: server, Cookie: packet.Cookie, OpenSince: f.flows.OpenSince(&packet)}
-	if packet.Kind == Reset {
-		f.recordEnd(now, current, packet.Destination, f.flows.Remove(&packet))
-		return decision
-	}
-	if !f.flows.Ended(&packet) {
-		record := f.flows.RecordPacket(now, &packet, cookie)
-		f.recordEnd(now, current, packet.Destination, record.Ended)
-		if record.Signal != Retransmission || !confirmedSince(now, confirmed, decision.OpenSince) {
-			return decision
-		}
-	}
-	decision.Action, decision.Cookie = Refuse, 0
-	return decision
-}
